Let messages of one step to one endpoint travel in one call

Cause: the relay told the module that every kind takes one message a call (config.go overwrote kind_batch) and could not speak /v1/messages:batch. Destinations of the kind that counts calls in a span of 2 s were therefore served at a small part of what they take.

Their only refusals come one a span of 2 s.

What one step sends to one endpoint now shares a call, which begins once each of its clients has heard; each message keeps its own time-out, cancel, log records and end. One message alone goes as before.

--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -127,9 +127,6 @@
 	// On sockets a connection carries one call at a time, whatever the
 	// simulator's connections carry.
 	c.Policy.Streams = 1
-	for i := range c.Policy.Kinds {
-		c.Policy.Kinds[i].Batch = 1 // and a call carries one message
-	}
 	var names struct {
 		Localities []string `json:"localities"`
 	}
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -19,6 +21,7 @@
 
 const (
 	callPath    = "/v1/messages"
+	batchPath   = "/v1/messages:batch"
 	probePath   = "/health/live"
 	answerMost  = 192 << 10              // bytes of an answer that are read, with what comes ahead of it
 	answerWait  = 300 * time.Millisecond // from an answer's first byte to its last: it is written at once
@@ -37,6 +40,7 @@
 	num       decide.Endpoint
 	cell      int
 	zone      int
+	batch     int // messages that one call may carry
 	hostPort  string
 	gone      bool // drained or removed: nothing new goes there
 	goneAt    decide.Time
@@ -72,19 +76,35 @@
 var (
 	errCancelled = errors.New("cancelled")
 	errDrained   = errors.New("endpoint drained")
+	errNoCall    = errors.New("endpoint gone, or no time left")
+	errUnlogged  = errors.New("attempt not logged")
 )
 
-// call is one call out.
+// call is one call, with the messages that travel in it. It is out once stop
+// is set. Its run has nothing to do with what the loop owns.
 type call struct {
-	m       *message
 	ep      *endpoint
-	attempt int
+	msgs    []*message // the loop's
+	out     int        // of them, without an outcome; the loop's
 	stage   atomic.Int32
 	leaving atomic.Bool // its endpoint drains
 	ctx     context.Context
 	stop    context.CancelCauseFunc
 }
 
+// part is one message of a call as the call's run sees it.
+type part struct {
+	m     *message // told back, never looked into
+	rec   *record
+	limit time.Duration // how long its outcome is waited for
+}
+
+// ending is what an answer for several messages says of one of them.
+type ending struct {
+	what    decide.Outcome
+	settled bool
+}
+
 // outcome is what became of a call or a probe.
 type outcome struct {
 	what    decide.Outcome
@@ -94,7 +114,8 @@
 	took    decide.Time
 	load    decide.Load
 	status  int
-	spoilt  bool // an answer came and cannot be believed
+	spoilt  bool              // an answer came and cannot be believed
+	ends    map[string]ending // by id: those that fared otherwise
 	err     error
 }
 
@@ -107,34 +128,74 @@
 }
 
 // newCallRequest makes the request of a call. Its GetBody stays nil.
-func newCallRequest(hostPort, id, key string, body []byte, timeout time.Duration) (*http.Request, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+hostPort+callPath, nil)
+func newCallRequest(hostPort string, parts []part, timeout time.Duration) (*http.Request, error) {
+	path, body := callPath, parts[0].rec.body
+	if len(parts) > 1 {
+		path = batchPath
+		var err error
+		if body, err = batchBody(parts); err != nil {
+			return nil, err
+		}
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+hostPort+path, nil)
 	if err != nil {
 		return nil, err
 	}
 	if req.ContentLength = int64(len(body)); len(body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(body))
 	}
-	req.Header.Set("X-Request-ID", id)
-	if key != "" {
-		req.Header.Set("Idempotency-Key", key)
+	if len(parts) > 1 {
+		req.Header.Set("Content-Type", "application/json")
+	} else {
+		req.Header.Set("X-Request-ID", parts[0].rec.ID)
+		if key := parts[0].rec.Key; key != "" {
+			req.Header.Set("Idempotency-Key", key)
+		}
 	}
 	req.Header.Set("X-Timeout-Ms", strconv.FormatInt(max(timeout.Milliseconds(), 1), 10))
 	req.Header["User-Agent"] = nil
 	return req, nil
 }
 
+// batchBody is the body of a call with several messages; their own go in Base64.
+func batchBody(parts []part) ([]byte, error) {
+	type item struct {
+		ID   string `json:"id"`
+		Key  string `json:"key,omitempty"`
+		Body []byte `json:"body"`
+	}
+	items := make([]item, len(parts))
+	for i, p := range parts {
+		items[i] = item{p.rec.ID, p.rec.Key, append([]byte{}, p.rec.body...)}
+	}
+	return json.Marshal(items)
+}
+
 // run makes the call. It tells what became of it once, as soon as that is
-// certain, and returns when the call's connection carries nothing of it any
-// more.
-func (c *call) run(h *home, rec *record, limit time.Duration, loads []string, tell func(outcome)) {
+// certain, with no message named; before that it may tell of messages whose
+// time was up sooner. It returns when the call's connection carries nothing of
+// it any more.
+func (c *call) run(h *home, parts []part, loads []string, tell func(*message, outcome)) {
+	defer c.stop(nil)
 	began := time.Now()
+	limit := time.Duration(0)
+	for _, p := range parts {
+		limit = max(limit, p.limit)
+	}
+	for _, p := range parts {
+		if p.limit < limit {
+			t := time.AfterFunc(p.limit, func() {
+				tell(p.m, outcome{what: decide.TimedOut, err: context.DeadlineExceeded, took: time.Since(began).Microseconds()})
+			})
+			defer t.Stop()
+		}
+	}
 	ctx, cancel := context.WithTimeoutCause(c.ctx, limit, context.DeadlineExceeded)
 	defer cancel()
 	end := func(what decide.Outcome, err error) {
-		tell(outcome{what: what, err: err, took: time.Since(began).Microseconds()})
+		tell(nil, outcome{what: what, err: err, took: time.Since(began).Microseconds()})
 	}
-	req, err := newCallRequest(h.addr, rec.ID, rec.Key, rec.body, limit)
+	req, err := newCallRequest(h.addr, parts, limit)
 	if err != nil {
 		end(decide.NotSent, err)
 		return
@@ -151,7 +212,7 @@
 	}
 	unwatch := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
 	told := false
-	keep := readAnswer(conn, req, loads, func(o outcome) {
+	keep := readAnswer(conn, req, parts, loads, func(o outcome) {
 		told = true
 		o.took = time.Since(began).Microseconds()
 		if o.what == decide.Reset {
@@ -159,7 +220,7 @@
 		}
 		// Nobody waits for the call any more; what is left of its answer has
 		// its own bound.
-		tell(o)
+		tell(nil, o)
 	})
 	if !unwatch() || !told || !keep {
 		conn.drop()
@@ -219,11 +280,11 @@
 	return decide.Reset
 }
 
-// readAnswer reads an answer and tells its outcome: a first line with 200 is
-// true whatever follows it; anything else is believed only once all of it has
+// readAnswer reads an answer and tells its outcome: to a call with one message,
+// a first line with 200 is true whatever follows it; anything else is believed only once all of it has
 // been read and makes sense, since a spoilt answer is that of a call that may
 // have run. It reports whether the connection can carry another call.
-func readAnswer(conn *poolConn, req *http.Request, loads []string, tell func(outcome)) (keep bool) {
+func readAnswer(conn *poolConn, req *http.Request, parts []part, loads []string, tell func(outcome)) (keep bool) {
 	status, err := 0, error(nil)
 	stop := func() bool { return true }
 	defer func() { stop() }()
@@ -258,28 +319,36 @@
 		}
 		begun = false
 	}
-	if status == http.StatusOK {
+	several := len(parts) > 1
+	if status == http.StatusOK && !several {
 		tell(outcome{what: decide.Delivered, settled: true, status: status})
 	}
+	var body []byte
 	resp, err := http.ReadResponse(conn.in, req)
 	if err == nil {
 		if resp.ContentLength > bodyMost {
 			err = errTooBig
+		} else if several {
+			body, err = io.ReadAll(resp.Body)
 		} else {
 			_, err = io.Copy(io.Discard, resp.Body)
 		}
 		resp.Body.Close()
 	}
-	if status == http.StatusOK {
+	if status == http.StatusOK && !several {
 		return err == nil && !resp.Close
 	}
 	o := outcome{status: status, err: err}
 	if err == nil {
 		o.load = readLoad(resp.Header.Get("X-Server-Load"), loads)
-		o.err = o.read(resp.Header)
+		if several {
+			o.err = o.readBatch(resp.Header, body, parts)
+		} else {
+			o.err = o.read(resp.Header)
+		}
 	}
 	if o.err != nil {
-		o.what, o.spoilt, o.wait, o.slots, o.settled = decide.Errored, true, 0, false, false
+		o.what, o.spoilt, o.wait, o.slots, o.settled, o.ends = decide.Errored, true, 0, false, false, nil
 	}
 	tell(o)
 	return o.err == nil && !resp.Close
@@ -315,6 +384,51 @@
 	return nil
 }
 
+// Words for how one message of a batch ended.
+var batchEnds = map[string]ending{
+	"accepted": {decide.Delivered, true},
+	"fault":    {decide.Errored, false},
+	"deferred": {decide.Full, false},
+	"expired":  {decide.NotSent, true},
+	"no_more":  {decide.NotSent, false},
+}
+
+// readBatch maps the answer to a call with several messages. An error means
+// that it cannot be believed. A message that it does not name may have run.
+func (o *outcome) readBatch(head http.Header, body []byte, parts []part) error {
+	switch o.status {
+	case http.StatusOK:
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		o.what = decide.NotSent // none of them has run
+		return nil
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return o.read(head)
+	default: // what else says that a message is over says it of one alone
+		o.what = decide.Errored
+		return nil
+	}
+	var said []struct{ ID, State string }
+	if err := json.Unmarshal(body, &said); err != nil {
+		return err
+	}
+	wait, err := retryAfter(head.Get("Retry-After"))
+	if err != nil {
+		return err
+	}
+	o.what, o.wait, o.ends = decide.Errored, wait, make(map[string]ending, len(said))
+	for _, x := range said {
+		end, ok := batchEnds[x.State]
+		if !ok || !slices.ContainsFunc(parts, func(p part) bool { return p.rec.ID == x.ID }) {
+			return fmt.Errorf("answer says %.40q of message %.40q", x.State, x.ID)
+		}
+		if _, twice := o.ends[x.ID]; twice {
+			return fmt.Errorf("answer names message %.40q twice", x.ID)
+		}
+		o.ends[x.ID] = end
+	}
+	return nil
+}
+
 // retryAfter reads seconds with decimals. None told is no wait.
 func retryAfter(s string) (decide.Time, error) {
 	if s = strings.TrimSpace(s); s == "" {
@@ -374,7 +488,7 @@
 		unwatch := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
 		keep := false
 		if err = conn.write(ctx, text.Bytes()); err == nil {
-			keep = readAnswer(conn, req, nil, func(x outcome) { o.what, o.status, err = x.what, x.status, x.err })
+			keep = readAnswer(conn, req, nil, nil, func(x outcome) { o.what, o.status, err = x.what, x.status, x.err })
 		}
 		if !unwatch() || !keep {
 			conn.drop()
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -26,11 +26,13 @@
 
 func newTestCall() *call {
 	ctx, stop := context.WithCancelCause(context.Background())
-	return &call{m: &message{}, ctx: ctx, stop: stop}
+	return &call{ctx: ctx, stop: stop}
 }
 
 const testLimit = 20 * time.Second
 
+func testPart(id string) []part { return []part{{rec: &record{ID: id}, limit: testLimit}} }
+
 // testPool is a pool as a relay has it; what it holds open at the end is a leak.
 func testPool(t *testing.T) *pool {
 	t.Helper()
@@ -48,7 +50,7 @@
 func (c *call) made(t *testing.T, h *home, rec *record, limit time.Duration) outcome {
 	t.Helper()
 	told := make(chan outcome, 4)
-	c.run(h, rec, limit, nil, func(o outcome) { told <- o })
+	c.run(h, []part{{rec: rec, limit: limit}}, nil, func(_ *message, o outcome) { told <- o })
 	if len(told) != 1 {
 		t.Fatalf("told %d outcomes, want 1", len(told))
 	}
@@ -205,7 +207,7 @@
 			}
 		})
 	}
-	req, err := newCallRequest("127.0.0.1:1", "m", "k", []byte("b"), time.Second)
+	req, err := newCallRequest("127.0.0.1:1", []part{{rec: &record{ID: "m", Key: "k", body: []byte("b")}}}, time.Second)
 	if err != nil || req.GetBody != nil {
 		t.Errorf("request can be rewound: GetBody %v, err %v", req.GetBody != nil, err)
 	}
@@ -290,7 +292,7 @@
 		done, ended := make(chan outcome, burst), make(chan bool, burst)
 		for range burst {
 			go func() {
-				newTestCall().run(h, &record{ID: "m"}, testLimit, nil, func(o outcome) { done <- o })
+				newTestCall().run(h, testPart("m"), nil, func(_ *message, o outcome) { done <- o })
 				ended <- true
 			}()
 		}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -50,11 +50,11 @@
   {"deadline_us":20000000,"dedup_window_us":5000000,"group":"all","late_worth":0.1,"name":"plain","repeat":"retryable","target_us":1500000,"worth":1},
   {"deadline_us":20000000,"dedup_window_us":20000000,"group":"all","late_worth":0.3,"name":"keyed","repeat":"dedup","target_us":3000000,"worth":1},
   {"deadline_us":20000000,"dedup_window_us":5000000,"group":"all","late_worth":0.4,"name":"once","repeat":"fragile","target_us":3000000,"worth":3}],
- "discovery":"pushed","kinds":["k"],"localities":["a","b"],
+ "discovery":"pushed","kinds":["k","bulk"],"localities":["a","b"],
  "limits":{"connect_timeout_us":1500000,"keepalive_us":10000000,"max_retry_after_us":2000000,"may_cancel":true,
   "most_held":100,"most_tries":8,"probing":true,"retry_after":true,"streams_per_conn":8},
  "safety":{"answer_slack_us":20000,"drain_grace_us":2000000,"fall_us":2000000,"overload_factor":1.5,"ramp_time_us":13000000,"start_capacity":0.26},
- "specifics":{"calls_out":16,"kind_batch":[1],"late":"linear","own_limits":[false]},
+ "specifics":{"calls_out":16,"kind_batch":[1,3],"late":"linear","own_limits":[false,false]},
  "report":{"fields":[],"how":"none"},
  "tick_us":5000,"value_by":"request","weights":"nominal","zone":0}`
 
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"time"
 
 	"troutusher/decide"
@@ -36,9 +37,11 @@
 	logged  bool     // the log has it, or will
 	over    bool     // the policy has ended it, or was told so
 	tries   int
-	pending *decide.Action // a send that waits for the client to have heard
-	ending  *record        // its end, likewise
-	call    *call
+	until   decide.Time // when its last send times out
+	pending *call       // waits for the clients of all its messages to have heard
+	ending  *record     // its end, likewise
+	call    *call       // out
+	unsaid  bool        // the policy has called its attempt off in this step
 }
 
 // happening is something that the loop is told.
@@ -48,8 +51,9 @@
 	lost   *request // the log could not take it
 	news   *List
 	config *Config // a new one
-	call   *call   // with result
-	unsent *call   // its attempt could not be logged
+	call   *call   // with result; of msg alone, where that is set
+	msg    *message
+	unsent *message // its attempt did not leave; with call and result
 	probed decide.Endpoint
 	result *outcome
 	ok     bool
@@ -77,6 +81,8 @@
 	named     map[int]bool // destinations that a list has named
 	events    []decide.Event
 	actions   []decide.Action
+	forming   []*call    // of the step that is carried out
+	off       []*message // called off in it
 	timers    timers
 	held      int
 	calls     int
@@ -303,9 +309,9 @@
 	case h.config != nil:
 		r.reconfigure(h.config)
 	case h.unsent != nil:
-		r.finished(h.unsent, &outcome{what: decide.NotSent, err: errors.New("attempt not logged")}, false)
+		r.finished(h.unsent, h.call, h.result)
 	case h.call != nil:
-		r.finished(h.call, h.result, true)
+		r.returned(h.call, h.msg, h.result)
 	case h.probed != 0:
 		r.events = append(r.events, decide.Event{Kind: decide.EvProbed, Endpoint: h.probed,
 			Outcome: h.result.what, Took: h.result.took, Load: h.result.load})
@@ -353,9 +359,8 @@
 		return
 	}
 	m.heard = true
-	if a := m.pending; a != nil && !r.shelve(m) {
-		m.pending = nil
-		r.send(m, a)
+	if c := m.pending; c != nil {
+		r.launch(c)
 	}
 	if e := m.ending; e != nil {
 		m.ending = nil
@@ -383,9 +388,8 @@
 		r.drop(m)
 		r.events = append(r.events, decide.Event{Kind: decide.EvWithdraw, Message: m.num})
 	}
-	if a := m.pending; a != nil {
-		m.pending = nil
-		r.notSent(m, a.Endpoint)
+	if m.pending != nil {
+		r.pull(m)
 	}
 }
 
@@ -446,7 +450,10 @@
 	}
 	entry := decide.Entry{Endpoint: ep.num, Zone: place(r.cfg.zones, x.Locality), Kind: place(r.cfg.kinds, x.Flavor),
 		Dest: x.Cell, State: decide.Ready, Rate: x.Size}
-	ep.zone = entry.Zone
+	ep.zone, ep.batch = entry.Zone, 1
+	if entry.Kind >= 0 && entry.Kind < len(r.cfg.Policy.Kinds) {
+		ep.batch = max(r.cfg.Policy.Kinds[entry.Kind].Batch, 1)
+	}
 	switch x.Phase {
 	case phaseUp:
 		ep.gone = false
@@ -513,6 +520,23 @@
 	for i := range r.actions {
 		r.act(now, &r.actions[i])
 	}
+	r.gathered()
+}
+
+// gathered ends the calls that no message wants any more, and makes those that
+// the step has formed.
+func (r *Relay) gathered() {
+	for _, m := range r.off {
+		if m.call != nil {
+			r.callOff(m.call, m)
+		}
+	}
+	for _, c := range r.forming {
+		r.launch(c)
+	}
+	clear(r.off)
+	clear(r.forming)
+	r.off, r.forming = r.off[:0], r.forming[:0]
 }
 
 // takeOn logs a message; its client hears of it once that is done.
@@ -567,7 +591,8 @@
 	r.wal.submit(&record{Kind: recEnding, ID: m.rec.ID, Notice: word, RetryMS: ms}, func(error) { r.notices.in.put(n) })
 }
 
-// act carries out what is no final answer.
+// act carries out what is no final answer. What is to be sent or called off is
+// gathered: which messages share a call is seen when all are known.
 func (r *Relay) act(now decide.Time, a *decide.Action) {
 	switch a.Kind {
 	case decide.ActSend:
@@ -576,21 +601,17 @@
 			return
 		}
 		m.tries++
-		c := *a
-		if m.heard && !r.shelve(m) {
-			r.send(m, &c)
-		} else {
-			m.pending = &c
-		}
+		m.until, m.unsaid = a.At, false
+		m.pending = r.form(a.Endpoint)
+		m.pending.msgs = append(m.pending.msgs, m)
 	case decide.ActCancel:
 		if m := r.msgs[a.Message]; m != nil && a.Attempt == m.tries-1 {
 			switch {
 			case m.call != nil:
-				m.call.stop(errCancelled)
+				m.unsaid = true
+				r.off = append(r.off, m)
 			case m.pending != nil:
-				ep := m.pending.Endpoint
-				m.pending = nil
-				r.notSent(m, ep)
+				r.pull(m)
 			}
 		}
 	case decide.ActTimer:
@@ -612,64 +633,139 @@
 	}
 }
 
+// form gives the call of this step that a send to an endpoint joins. What one
+// step sends to one endpoint travels together, as far as its kind allows.
+func (r *Relay) form(num decide.Endpoint) *call {
+	ep := r.byNum[num]
+	for _, c := range r.forming {
+		if ep != nil && c.ep == ep && len(c.msgs) < ep.batch {
+			return c
+		}
+	}
+	c := &call{ep: ep}
+	r.forming = append(r.forming, c)
+	return c
+}
+
 // notSent tells the policy of an attempt that never left. The loop comes by
 // again for it.
-func (r *Relay) notSent(m *message, ep decide.Endpoint) {
-	r.in.put(happening{unsent: &call{m: m, ep: r.byNum[ep], attempt: m.tries - 1}})
+func (r *Relay) notSent(m *message, c *call, err error) {
+	r.in.put(happening{unsent: m, call: c, result: &outcome{what: decide.NotSent, err: err}})
+}
+
+// pull takes a message out of a call that has not begun; the others must not
+// wait for it any longer.
+func (r *Relay) pull(m *message) {
+	c := m.pending
+	m.pending = nil
+	c.msgs = slices.DeleteFunc(c.msgs, func(x *message) bool { return x == m })
+	r.notSent(m, c, errCancelled)
+	r.launch(c)
 }
 
-// send logs an attempt and then makes it.
-func (r *Relay) send(m *message, a *decide.Action) {
-	ep := r.byNum[a.Endpoint]
-	limit := a.At - r.now()
-	if ep == nil || ep.gone || ep.cell != m.rec.Dest || limit <= 0 || m.over {
-		r.notSent(m, a.Endpoint)
+// launch logs the attempts of a call and then makes it, once the client of each
+// of its messages has heard.
+func (r *Relay) launch(c *call) {
+	if c.stop != nil || slices.ContainsFunc(c.msgs, func(m *message) bool { return !m.heard }) {
+		return
+	}
+	now := r.now()
+	c.msgs = slices.DeleteFunc(c.msgs, func(m *message) bool {
+		if r.shelve(m) {
+			return true
+		}
+		m.pending = nil
+		if ep := c.ep; ep == nil || ep.gone || ep.cell != m.rec.Dest || m.until <= now || m.over {
+			r.notSent(m, c, errNoCall)
+			return true
+		}
+		return false
+	})
+	if len(c.msgs) == 0 {
 		return
 	}
-	ctx, stop := context.WithCancelCause(r.ctx)
-	c := &call{m: m, ep: ep, attempt: m.tries - 1, ctx: ctx, stop: stop}
-	m.call = c
-	ep.calls[c] = true
+	c.ctx, c.stop = context.WithCancelCause(r.ctx)
+	c.ep.calls[c] = true
 	r.calls++
-	h, rec := ep.home, m.rec
-	r.wal.submit(&record{Kind: recAttempt, ID: rec.ID, At: r.wall(r.now()), Zone: ep.zone}, func(err error) {
-		if err != nil {
-			stop(err)
-			r.in.put(happening{unsent: c})
+	for _, m := range c.msgs {
+		m.call = c
+		c.out++
+	}
+	h, msgs := c.ep.home, slices.Clone(c.msgs)
+	parts := make([]part, 0, len(msgs)) // the log's goroutine alone appends
+	for i, m := range msgs {
+		p := part{m: m, rec: m.rec, limit: time.Duration(m.until-now) * time.Microsecond}
+		r.wal.submit(&record{Kind: recAttempt, ID: m.rec.ID, At: r.wall(now), Zone: c.ep.zone}, func(err error) {
+			if err == nil {
+				parts = append(parts, p)
+			} else {
+				r.in.put(happening{call: c, msg: m, result: &outcome{what: decide.NotSent, err: errUnlogged}})
+			}
+			if i < len(msgs)-1 || len(parts) == 0 {
+				return
+			}
+			go c.run(h, parts, r.cfg.loads, func(m *message, o outcome) {
+				r.in.put(happening{call: c, msg: m, result: &o})
+			})
+		})
+	}
+}
+
+// callOff stops waiting for a message of a call. The call itself goes on as
+// long as another of its messages wants it.
+func (r *Relay) callOff(c *call, m *message) {
+	for _, x := range c.msgs {
+		if x.call == c && !x.unsaid {
+			r.in.put(happening{call: c, msg: m, result: &outcome{what: decide.Cancelled, err: errCancelled}})
 			return
 		}
-		go func() {
-			defer stop(nil)
-			c.run(h, rec, time.Duration(limit)*time.Microsecond, r.cfg.loads, func(o outcome) {
-				r.in.put(happening{call: c, result: &o})
-			})
-		}()
-	})
+	}
+	c.stop(errCancelled)
+}
+
+// returned books what became of a call, or of one of its messages alone.
+func (r *Relay) returned(c *call, only *message, o *outcome) {
+	if o.wait > 0 { // it binds under this id also if it leaves and comes back
+		c.ep.waitUntil = max(c.ep.waitUntil, r.now()+o.wait)
+	}
+	if c.ep.home != nil && c.ep.suspect(o, r.now()) {
+		c.ep.home.closeIdle()
+	}
+	for _, m := range c.msgs {
+		if m.call != c || only != nil && only != m {
+			continue // it had its outcome before
+		}
+		end := *o
+		if x, ok := o.ends[m.rec.ID]; ok {
+			end.what, end.settled = x.what, x.settled
+		}
+		r.finished(m, c, &end)
+	}
+	if only != nil && c.out == 0 {
+		c.stop(errCancelled) // nobody waits for it any more
+	}
 }
 
-// finished books the end of an attempt.
-func (r *Relay) finished(c *call, o *outcome, logged bool) {
-	m := c.m
-	e := decide.Event{Kind: decide.EvOutcome, Message: m.num, Attempt: c.attempt, Outcome: o.what, Wait: o.wait,
+// finished books the end of a message's attempt.
+func (r *Relay) finished(m *message, c *call, o *outcome) {
+	e := decide.Event{Kind: decide.EvOutcome, Message: m.num, Attempt: m.tries - 1, Outcome: o.what, Wait: o.wait,
 		Slots: o.slots, Settled: o.settled || m.over, Took: o.took, Load: o.load}
 	if c.ep != nil {
 		e.Endpoint = c.ep.num
-		if o.wait > 0 { // it binds under this id also if it leaves and comes back
-			c.ep.waitUntil = max(c.ep.waitUntil, r.now()+o.wait)
-		}
-		delete(c.ep.calls, c)
 	}
-	if m.call == c {
+	logged := m.call == c
+	if logged {
 		m.call = nil
-		r.calls--
+		if c.out--; c.out == 0 {
+			r.calls--
+			delete(c.ep.calls, c)
+		}
 	}
 	r.events = append(r.events, e)
-	if c.ep != nil && c.ep.home != nil && c.ep.suspect(o, r.now()) {
-		c.ep.home.closeIdle()
-	}
 	if o.what != decide.Delivered {
 		r.log.Info("attempt", "message", m.rec.ID, "dest", m.rec.Dest, "class", m.rec.Class, "endpoint", e.Endpoint,
-			"attempt", c.attempt, "outcome", int(o.what), "status", o.status, "took_ms", o.took/1000, "err", o.err)
+			"attempt", e.Attempt, "together", len(c.msgs), "outcome", int(o.what), "status", o.status, "took_ms", o.took/1000,
+			"err", o.err)
 	}
 	switch {
 	case o.settled:
--- a/internal/relay/pool_test.go
+++ b/internal/relay/pool_test.go
@@ -102,7 +102,7 @@
 	told, over := make(chan outcome, 1), make(chan struct{})
 	go func() {
 		defer close(over)
-		newTestCall().run(h, &record{ID: "m"}, testLimit, nil, func(o outcome) { told <- o })
+		newTestCall().run(h, testPart("m"), nil, func(_ *message, o outcome) { told <- o })
 	}()
 	if o := <-told; o.what != decide.Delivered {
 		t.Errorf("got %+v", o)
@@ -130,7 +130,7 @@
 	told, over := make(chan outcome, 1), make(chan struct{})
 	go func() {
 		defer close(over)
-		newTestCall().run(h, &record{ID: "m"}, testLimit, nil, func(o outcome) { told <- o })
+		newTestCall().run(h, testPart("m"), nil, func(_ *message, o outcome) { told <- o })
 	}()
 	select {
 	case o := <-told:
@@ -337,7 +337,7 @@
 	for range 3 {
 		c := newTestCall()
 		calls = append(calls, c)
-		go func() { c.run(stuck, &record{ID: "m"}, testLimit, nil, func(o outcome) { over <- o }) }()
+		go func() { c.run(stuck, testPart("m"), nil, func(_ *message, o outcome) { over <- o }) }()
 		<-entered
 	}
 	if o := newTestCall().made(t, stuck, &record{ID: "m"}, testLimit); o.what != decide.NotSent {
