Heed a wait whatever became of the messages it came with

Cause: an answer to several messages may carry a wait beside the states of each (PROTOCOL, "binds in the same way"), but the module read a wait only with a refusal, so one told beside accepted messages was not heeded. Also, a message of the call that was over before it hid what the others told of the destination.

--- a/decide/api.go
+++ b/decide/api.go
@@ -228,7 +228,7 @@
 	Token    uint64
 	Left     Time // EvMessage: how long it may still be delivered
 	Work     Time // EvMessage: a guess of its cost; 0 for none
-	Wait     Time // EvOutcome, Full: how long to wait; 0 when none is told
+	Wait     Time // EvOutcome: how long to wait; 0 when none is told
 	Took     Time
 	Load     Load
 	Entries  []Entry
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -397,11 +397,11 @@
 		}
 	}
 	p.touch(c.ep.lane.dest)
-	if !c.noted { // the messages of a call share one fate, and count once
+	if !c.noted && e.Outcome != NotSent { // the messages of a call share one fate, and count once
 		c.noted = true
 		p.observe(c, e)
 	}
-	if e.Outcome == Full && e.Wait > 0 {
+	if e.Wait > 0 { // an answer that took some of the messages may tell one too
 		c.ep.lane.waitUntil = max(c.ep.lane.waitUntil, p.now+e.Wait)
 		for _, x := range c.ep.lane.eps { // what is saved up while it is closed would go at once
 			x.budget.tokens, x.budget.at = 0, c.ep.lane.waitUntil
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -358,6 +358,48 @@
 	}
 }
 
+// TestWaitOfATakenBatch: an answer that took the messages may tell to wait, and binds as a refusal's does.
+func TestWaitOfATakenBatch(t *testing.T) {
+	s := one()
+	s.Kinds[0].Batch = 2
+	r := newRig(t, s, ready(1, 1000))
+	r.step(r.message(0, 0), r.message(0, 0))
+	var taken []Event
+	for _, a := range r.sends {
+		e := answer(a, Delivered)
+		e.Wait = second
+		taken = append(taken, e)
+	}
+	r.now += second / 10
+	told := r.now
+	r.step(append(taken, r.message(0, 0))...)
+	for len(r.sends) == 0 {
+		if r.now += 5000; r.now > told+10*second {
+			t.Fatal("never sent again")
+		}
+		r.step(Event{Kind: EvTimer})
+	}
+	if r.now < told+second {
+		t.Errorf("sent %d us after word of a wait of %d", r.now-told, second)
+	}
+}
+
+// TestBatchCountsOnce: a message that was over before its call tells nothing of the destination; the first of
+// the others does.
+func TestBatchCountsOnce(t *testing.T) {
+	s := one()
+	s.Kinds[0].Batch = 3
+	r := newRig(t, s, ready(1, 1000))
+	r.step(r.message(0, 0), r.message(0, 0), r.message(0, 0))
+	r.now += second / 10
+	over := answer(r.sends[0], NotSent)
+	over.Settled = true
+	r.step(over, answer(r.sends[1], Delivered), answer(r.sends[2], Delivered))
+	if req, acc := r.p.eps[1].lane.hist.totals(r.now); req != 1 || acc != 1 {
+		t.Errorf("%v requests, %v accepts, want 1 and 1", req, acc)
+	}
+}
+
 // TestWorthOrder: what loses most by waiting goes first; what is over its tenant's share goes last.
 func TestWorthOrder(t *testing.T) {
 	s := one()
