--- a/decide/decide.go
+++ b/decide/decide.go
@@ -291,6 +291,9 @@
 			a.After = min(p.drain(m.dest), p.set.MaxRetryAfter)
 		}
 		p.act(a)
+		if m.tries == 0 {
+			p.logWaits(m.dest)
+		}
 	} else {
 		p.act(Action{Kind: ActFail, Message: m.id})
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -45,6 +45,7 @@
 	flying  int
 	touched bool
 	wakeAt  Time // next moment in wakes
+	toldAt  Time // when it was last logged why messages wait here
 	pass    int  // the look that doneAt was found in
 	doneAt  Time // when what waits now will have gone
 	pick    *message
@@ -155,6 +156,32 @@
 	p.later.add(max(m.doubtAt+m.class.DedupWindow-2*p.set.Tick+1, p.now+1), func() { p.look(m) })
 }
 
+// logWaits tells, now and then, what messages that are handed back untried have waited for.
+func (p *Policy) logWaits(d *dest) {
+	if d.toldAt > 0 && p.now-d.toldAt < logEvery {
+		return
+	}
+	d.toldAt = p.now
+	for _, l := range d.lanes {
+		req, acc := l.hist.totals(p.now)
+		sick, resting := 0, 0
+		for _, ep := range l.eps {
+			if ep.sick {
+				sick++
+			} else if ep.restUntil > p.now {
+				resting++
+			}
+		}
+		p.logf("dest %d: waiting %d, out %d, window %.0f, slots out %d, requests %.0f, accepts %.0f, pace %.1f, tokens %.1f, "+
+			"limit %.1f, wait ms %d, pause ms %d, endpoints %d, sick %d, resting %d", d.id, len(d.queue), l.flying, l.window,
+			p.calls, req, acc, p.pace(l), l.tokens.tokens, l.limit, max(l.waitUntil-p.now, 0)/1000,
+			max(l.pauseUntil-p.now, 0)/1000, len(l.eps), sick, resting)
+	}
+}
+
+// logEvery is how often a destination's state is logged at most.
+const logEvery = Time(1e6)
+
 func (p *Policy) logf(format string, args ...any) {
 	p.act(Action{Kind: ActLog, Text: fmt.Sprintf(format, args...)})
 }
