Take a call that is long overdue out of its destination's window

Cause: an unsafe message whose call gets no answer is waited for to its deadline, and its call held a place in the window all that time. After a few time-outs had halved the window to one, a single such call shut it for everything else for up to 12 s.

Ruled out: pace and limit (tokens to spare), the drop chance (nothing asked), waits and outages (none), slots (32 of more than twice as many).

Such a call now leaves the window when a safe one would have timed out, and halves it then, once; its slot stays taken, so the destination's share of the slots binds as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -393,14 +393,17 @@
 	if c.left == 0 {
 		p.calls--
 		c.ep.flying--
-		c.ep.lane.flying--
+		if !c.late {
+			c.ep.lane.flying--
+		}
 		c.ep.lane.dest.flying--
 		if c.ep.idleAt = p.now; c.ep.flying == 0 && p.set.KeepAlive > 0 && !c.ep.watched {
 			p.giveBack(c.ep)
 		}
 	}
 	p.touch(c.ep.lane.dest)
-	if !c.noted && e.Outcome != NotSent { // the messages of a call share one fate, and count once
+	told := c.late && (e.Outcome == TimedOut || e.Outcome == Cancelled)
+	if !c.noted && !told && e.Outcome != NotSent { // the messages of a call share one fate, and count once
 		c.noted = true
 		p.observe(c, e)
 	}
@@ -580,6 +583,21 @@
 	return Time(4*ep.lat.mean + 4*ep.lat.dev)
 }
 
+// overdue takes a call that has been out for longer than calls there take out of the window, and counts it as
+// timed out: an unsafe message, which cannot be tried again, is still waited for, but what never answers must
+// not keep the window shut for all the others. Its slot stays taken.
+func (p *Policy) overdue(c *call) {
+	if c.left == 0 {
+		return
+	}
+	c.late = true
+	c.ep.lane.flying--
+	if !c.noted {
+		p.observe(c, &Event{Kind: EvOutcome, Outcome: TimedOut})
+	}
+	p.touch(c.ep.lane.dest)
+}
+
 // review calls off a call that has been out for its patience while every slot was taken and messages waited
 // for as long: a time-out at the aim is right for a slot that nobody wants, not for the last one. It guards
 // against calls that hang here and there where others are answered, and against many slow ones at once. Harm:
@@ -893,6 +911,7 @@
 	if p.set.Cancels {
 		p.review(c)
 	}
+	p.later.add(p.now+p.span(c.msgs[0], ep), func() { p.overdue(c) })
 	l.bound = false
 	p.calls++
 	d.flying++
@@ -921,11 +940,16 @@
 	if m.class.Repeat == Unsafe {
 		return last // it cannot be tried again
 	}
+	return min(last, p.now+p.span(m, ep))
+}
+
+// span is how long a call may take before it is held to be lost.
+func (p *Policy) span(m *message, ep *endpoint) Time {
 	span := float64(m.class.Aim)
 	if l := &ep.lane.lat; l.n > 0 {
 		span = max(4*l.mean+4*l.dev, span)
 	}
-	return min(last, p.now+Time(span))
+	return Time(span)
 }
 
 // ---- timers
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -342,6 +342,37 @@
 	}
 }
 
+// TestSilentCallLeavesTheWindow: an unsafe message that gets no answer is waited for to its end, but the others
+// there do not wait with it. Its slot stays taken, and the silence halves the window once.
+func TestSilentCallLeavesTheWindow(t *testing.T) {
+	s := one()
+	s.Classes = append(s.Classes, Class{Name: "u", Aim: 2 * second, Deadline: 20 * second, Worth: 2, Repeat: Unsafe})
+	r := newRig(t, s, ready(1, 1000))
+	l := r.p.eps[1].lane
+	r.step(r.message(1, 0))
+	silent := r.sends[0]
+	r.now += second / 10
+	r.step(r.message(0, 0))
+	if len(r.sends) != 0 {
+		t.Fatal("sent past the window")
+	}
+	for end := r.now + 4*second; len(r.sends) == 0; r.step(Event{Kind: EvTimer}) {
+		if r.now += 5000; r.now > end {
+			t.Fatalf("nothing sent beside a silent call: window %v, out %d", l.window, l.flying)
+		}
+	}
+	if r.p.calls != 2 || l.dest.flying != 2 || count(r.acts, ActCancel) != 0 {
+		t.Errorf("%d slots, %d out there, %d called off", r.p.calls, l.dest.flying, count(r.acts, ActCancel))
+	}
+	l.window = 8
+	r.now += second / 10
+	late := answer(silent, TimedOut)
+	r.step(late)
+	if l.window != 8 || l.flying != 1 {
+		t.Errorf("counted again when it ended: window %v, out %d", l.window, l.flying)
+	}
+}
+
 // TestBatchOfOneTurn: what waits for one endpoint shares a call and a slot, and the call counts once.
 func TestBatchOfOneTurn(t *testing.T) {
 	s := one()
--- a/decide/state.go
+++ b/decide/state.go
@@ -121,6 +121,7 @@
 	sent  Time
 	left  int
 	noted bool
+	late  bool // out of the window: longer out than calls there take
 	msgs  []*message
 }
 
