--- a/decide/decide.go
+++ b/decide/decide.go
@@ -907,11 +907,11 @@
 	if c.left == 0 {
 		return
 	}
+	p.later.add(p.now+p.span(d.pick, ep), func() { p.overdue(c) })
 	p.spend(ep)
 	if p.set.Cancels {
 		p.review(c)
 	}
-	p.later.add(p.now+p.span(c.msgs[0], ep), func() { p.overdue(c) })
 	l.bound = false
 	p.calls++
 	d.flying++
