Tell calls that are lost alone from an outage, and halve a window once for them

A time-out now speaks for an outage only where nothing sent since has been answered, or most calls there fail; and calls sent before the last halving do not halve again.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -481,8 +481,13 @@
 			p.failed(ep, c.sent, true)
 		}
 	case TimedOut:
-		l.window = max(l.window/2, 1)
-		p.failed(ep, c.sent, true)
+		if c.sent >= l.halvedAt { // calls that were out together tell of one moment: one halving for all
+			l.window, l.halvedAt = max(l.window/2, 1), p.now
+		}
+		// Where later calls were answered and most are, it was lost alone: the endpoint lives.
+		if ep.okAt <= c.sent || p.chance(l) > 0 {
+			p.failed(ep, c.sent, true)
+		}
 	case NoConnect:
 		ep.conns = ep.flying
 		p.failed(ep, c.sent, true)
@@ -657,11 +662,16 @@
 // dropped draws by the formula. A drop is counted and spends the lane's token; the message stays held for a
 // later draw.
 func (p *Policy) dropped(l *lane) bool {
-	req, acc := l.hist.totals(p.now)
+	chance := p.chance(l)
 	l.hist.request(p.now)
-	// Calls still out speak neither for nor against: counted at once they would drop the next arrivals of a
-	// destination that has been quiet for longer than the history.
-	return p.rng.Float64() < dropChance(max(0, req-float64(l.flying)), acc)
+	return p.rng.Float64() < chance
+}
+
+// chance is that of a drop. Calls still out speak neither for nor against: counted at once they would drop
+// the next arrivals of a destination that has been quiet for longer than the history.
+func (p *Policy) chance(l *lane) float64 {
+	req, acc := l.hist.totals(p.now)
+	return dropChance(max(0, req-float64(l.flying)), acc)
 }
 
 // dropChance is the formula, with the cap that always lets some attempts pass.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -373,6 +373,43 @@
 	}
 }
 
+// TestLostCallsAreNoOutage: calls that get no answer where those sent after them do are lost alone, however many
+// come back at once, and halve the window once; where nothing sent since was answered, or most are not, it is an
+// outage.
+func TestLostCallsAreNoOutage(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		okAfter, most bool
+		window        float64
+		sick          bool
+	}{{"lost alone", true, false, 8, false}, {"nothing since", false, false, 8, true}, {"most", true, true, 8, true}} {
+		r := newRig(t, one(), ready(1, 1000))
+		ep := r.p.eps[1]
+		l := ep.lane
+		l.window = 16
+		sent := r.now
+		if c.okAfter {
+			ep.okAt = sent + second
+		} else {
+			ep.okAt = sent - second
+		}
+		r.now += 2 * second
+		for range 40 {
+			l.hist.request(r.now)
+			if !c.most {
+				l.hist.accept(r.now)
+			}
+		}
+		r.p.now = r.now
+		for range 4 {
+			r.p.observe(&call{ep: ep, sent: sent, msgs: []*message{{class: &r.p.set.Classes[0]}}}, &Event{Kind: EvOutcome, Outcome: TimedOut})
+		}
+		if l.window != c.window || ep.sick != c.sick {
+			t.Errorf("%s: window %v, sick %v, want %v and %v", c.name, l.window, ep.sick, c.window, c.sick)
+		}
+	}
+}
+
 // TestBatchOfOneTurn: what waits for one endpoint shares a call and a slot, and the call counts once.
 func TestBatchOfOneTurn(t *testing.T) {
 	s := one()
--- a/decide/state.go
+++ b/decide/state.go
@@ -59,6 +59,7 @@
 	eps        []*endpoint
 	hist       counter
 	window     float64
+	halvedAt   Time // last by a time-out
 	flying     int
 	waitUntil  Time // told to wait
 	pauseUntil Time // refused without a wait, or a draw was dropped
