Read the report that comes with a delivered message

A limit that had changed was learned late.

The head is now read as far as it has come with the first line, with no wait; a delivery is still told at once.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bufio"
 	"bytes"
 	"cmp"
 	"context"
@@ -9,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/textproto"
 	"slices"
 	"strconv"
 	"strings"
@@ -321,7 +323,8 @@
 	}
 	several := len(parts) > 1
 	if status == http.StatusOK && !several {
-		tell(outcome{what: decide.Delivered, settled: true, status: status})
+		tell(outcome{what: decide.Delivered, settled: true, status: status,
+			load: readLoad(headSoFar(conn.in).Get("X-Server-Load"), loads)})
 	}
 	var body []byte
 	resp, err := http.ReadResponse(conn.in, req)
@@ -354,6 +357,17 @@
 	return o.err == nil && !resp.Close
 }
 
+// headSoFar reads the head of the answer as far as it has come, without
+// waiting: what was delivered is told at once, and its report with it where it
+// came along, as it does when the answer was written in one.
+func headSoFar(in *bufio.Reader) http.Header {
+	have, _ := in.Peek(in.Buffered())
+	_, have, _ = bytes.Cut(have, []byte("\n"))      // the first line
+	have = have[:bytes.LastIndexByte(have, '\n')+1] // whole lines only
+	head, _ := textproto.NewReader(bufio.NewReader(bytes.NewReader(have))).ReadMIMEHeader()
+	return http.Header(head) // an error leaves the lines before it
+}
+
 // bound gives what is left of an answer some time. The call's own limit stays.
 func (c *poolConn) bound(d time.Duration) (stop func() bool) {
 	t := time.AfterFunc(d, func() { c.SetReadDeadline(longAgo) })
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -333,6 +333,42 @@
 	}
 }
 
+// Guards what most answers tell: a report comes with a delivery too, also to a
+// single message, and one that is late or cut off holds nothing up.
+func TestReportOfADelivery(t *testing.T) {
+	const first, load = "HTTP/1.1 200 OK\r\n", "X-Server-Load: x0=0.4,x1=25\r\n"
+	for name, x := range map[string]struct {
+		parts []string
+		want  decide.Load
+	}{
+		"at once":  {[]string{first + load + "Content-Length: 0\r\n\r\n"}, decide.Load{Left: 0.4, Limit: 25}},
+		"none":     {[]string{first + "Content-Length: 0\r\n\r\n"}, decide.Load{}},
+		"cut":      {[]string{first + "X-Server-Load: x0=0.4,x1=2"}, decide.Load{}},
+		"nonsense": {[]string{first + "x1=25\r\n\r\n"}, decide.Load{}},
+		"late":     {[]string{first, load + "Content-Length: 0\r\n\r\n"}, decide.Load{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			told := make(chan outcome, 4)
+			h := testPool(t).home(rawEndpoint(t, func(c net.Conn) {
+				if !readCall(bufio.NewReader(c)) {
+					return
+				}
+				for i, text := range x.parts {
+					if i > 0 { // not before the first was read
+						o := <-told
+						told <- o
+					}
+					io.WriteString(c, text)
+				}
+			}))
+			newTestCall().run(h, testPart("m"), []string{"x0", "x1"}, func(_ *message, o outcome) { told <- o })
+			if o := <-told; o.what != decide.Delivered || o.load != x.want {
+				t.Errorf("got %+v", o)
+			}
+		})
+	}
+}
+
 func TestProbe(t *testing.T) {
 	for code, want := range map[int]decide.Outcome{200: decide.Delivered, 503: decide.Full, 404: decide.Errored} {
 		ep := newFakeEndpoint(t, status(code))
