Do not take refusals at a low limit for a shut destination

Cause: two refusals a second apart with no success between made a destination pass for shut. Where its limit is under a call a second, shared by two relays, that is what the other's calls explain. What followed were trial calls of one message, rests that grew with the age of the run, and a limit that had long risen again without being noticed.

A run of refusals must now outlast two turns of this relay at the limit.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,7 +27,8 @@
 	scoreKeep   = 0.7  // weight of the past in an endpoint's failure score
 	scoreSick   = 0.6  // most calls fail: three in a row from a clean start pass it
 	restGrowth  = 3.0  // a rest after a failure, to the time since the first of the run, with many relays
-	fullRunSick = 2    // refusals in a row, half a fall time apart, with no success between: shut, not busy
+	fullRunSick = 2    // refusals in a row, far enough apart, with no success between: shut, not busy
+	shutTurns   = 2.0  // turns of this relay at the limit that such a run must outlast
 	budgetPart  = 1.0  // part of the fail-back budget that is used
 	sharerPart  = 2.0  // relays thought to want a trial, to the messages that an outage has kept waiting
 	unsafeWait  = 4    // times as long a call of unsafe messages is waited for under slot pressure
@@ -472,7 +473,7 @@
 		if e.Wait > 0 { // all who were told wake together: each comes at a moment of its own
 			l.pauseUntil = max(l.pauseUntil, p.now+e.Wait+Time(turn*float64(second)*p.rng.Float64()))
 		}
-		if e.Wait >= p.set.FallTime || l.fullRun >= fullRunSick && p.now-l.fullAt >= p.set.FallTime/2 {
+		if e.Wait >= p.set.FallTime || l.fullRun >= fullRunSick && p.now-l.fullAt >= p.shutRun(l) {
 			ep.score = 1 // shut, however seldom it was asked
 			p.failed(ep, c.sent, false)
 		}
@@ -496,6 +497,14 @@
 	}
 }
 
+// shutRun is how long refusals must go on, with no success between, until a destination is held to be shut
+// rather than at its limit: half a fall time, and where the limit is low as long as a few turns of this relay
+// take, since others may well have used up all the room until then.
+func (p *Policy) shutRun(l *lane) Time {
+	turns := shutTurns * float64(p.set.Relays) / p.capacity(l)
+	return max(p.set.FallTime/2, Time(turns*float64(second)))
+}
+
 // ---- recovery
 
 // healthy books a success. In an outage it starts the ramp, if the call left after the last failure.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -410,6 +410,23 @@
 	}
 }
 
+// TestLowLimitIsNotShut: where the limit lets this relay call once in seconds, two refusals that far apart are
+// what the others' calls explain; where it takes many a second, the same two are those of a shut destination.
+func TestLowLimitIsNotShut(t *testing.T) {
+	for limit, sick := range map[float64]bool{0.5: false, 20: true} {
+		r := newRig(t, one(), ready(1, limit))
+		ep := r.p.eps[1]
+		for range 2 {
+			r.p.observe(&call{ep: ep, sent: r.p.now, msgs: []*message{{class: &r.p.set.Classes[0]}}},
+				&Event{Kind: EvOutcome, Outcome: Full, Load: Load{Limit: limit}})
+			r.p.now += 2 * second
+		}
+		if ep.sick != sick {
+			t.Errorf("limit %v: held to be shut: %v", limit, ep.sick)
+		}
+	}
+}
+
 // TestBatchOfOneTurn: what waits for one endpoint shares a call and a slot, and the call counts once.
 func TestBatchOfOneTurn(t *testing.T) {
 	s := one()
