Answer a request that crosses the letting-go of its connection

Cause: a connection let go (its place is needed, or the relay stops) reads no further. Where a request's first byte came just before, the reader ended behind that request, and the end was taken for a client that had left: the message was withdrawn and the connection closed with no answer, which loses it.

The end of the input now counts as the client's only where it was not our own doing.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -371,6 +371,14 @@
 	}
 }
 
+// letGo reports whether the end of what a connection sends is our own doing:
+// its client is there, and a request that crossed that is still answered.
+func (c *clients) letGo(cc *clientConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return cc.released
+}
+
 // begin marks a request whose first byte has come.
 func (c *clients) begin(cc *clientConn) {
 	c.mu.Lock()
@@ -505,11 +513,13 @@
 	select {
 	case reply = <-q.reply:
 	case next, open := <-commands:
-		if !open { // gone before its answer
+		switch {
+		case open:
+			ahead = &next
+		case !c.letGo(cc): // gone before its answer
 			c.said(q, false)
 			return false, nil
 		}
-		ahead = &next
 		reply = <-q.reply
 	}
 	if strings.HasPrefix(reply, "-ERR") {
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -163,6 +163,35 @@
 	}
 }
 
+// Guards a request that crosses the moment in which its connection is let go:
+// its first byte was read, so it is answered, and only then comes the end.
+func TestRequestCrossesTheClose(t *testing.T) {
+	got := make(chan *request, 1)
+	c, addr, said := serveClients(t, func(q *request) { got <- q })
+	cl := dialClient(t, addr)
+	io.WriteString(cl, "*1\r\n$4\r\nPING\r\n")
+	cl.line()
+	c.mu.Lock()
+	for cc := range c.conns {
+		cc.released = true // as release leaves it where the byte came first
+	}
+	c.mu.Unlock()
+	io.WriteString(cl, putText("m", fields("plain", 8000, 1), nil))
+	q := <-got
+	select {
+	case <-said:
+		t.Fatal("taken for a client that left")
+	case <-time.After(50 * time.Millisecond): // nothing is to come; too short a wait only misses a fault
+	}
+	q.answer(replyOK)
+	if s := cl.line(); s != "+OK" || !<-said {
+		t.Errorf("answer %q", s)
+	}
+	if _, err := cl.in.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("after its answer: %v", err)
+	}
+}
+
 // Guards the limit on descriptors: past it the connection that was idle for
 // longest makes room, and the new one is served.
 func TestConnectionsBounded(t *testing.T) {
