Rest a call's time after a refused connection

Cause: a refused connection fails within a millisecond, and the module sent the same messages again at once, to one endpoint after the other, until three failures in a row at each had shown the outage. By then a message had spent five of its six attempts, and a batch those of all its messages.

Ruled out: slow connects (took 0 ms).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -492,6 +492,9 @@
 	case NoConnect:
 		ep.conns = ep.flying
 		p.failed(ep, c.sent, true)
+		// A refused connection fails at once: with no rest one message would spend all its attempts on an
+		// outage before the verdict is in.
+		ep.restUntil = max(ep.restUntil, p.now+p.usual(l.dest))
 	case Errored, Reset:
 		p.failed(ep, c.sent, false)
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -427,6 +427,30 @@
 	}
 }
 
+// TestRefusedConnectionsDoNotSpendAMessage: connections that are refused at once, at both endpoints, leave a
+// message attempts for when the outage is known.
+func TestRefusedConnectionsDoNotSpendAMessage(t *testing.T) {
+	s := one()
+	s.MaxAttempts = 6
+	r := newRig(t, s, ready(1, 20), ready(2, 20))
+	start, sent := r.now, 0
+	r.step(r.message(0, 0))
+	for r.now < start+second/2 {
+		var failed []Event
+		for _, a := range r.sends {
+			e := answer(a, NoConnect)
+			e.Attempt, e.Took = sent, 0
+			failed = append(failed, e)
+			sent++
+		}
+		r.now += 5000
+		r.step(append(failed, Event{Kind: EvTimer})...)
+	}
+	if sent < 2 || sent > 3 {
+		t.Errorf("%d attempts in half a second of refused connections, want both endpoints tried and little more", sent)
+	}
+}
+
 // TestBatchOfOneTurn: what waits for one endpoint shares a call and a slot, and the call counts once.
 func TestBatchOfOneTurn(t *testing.T) {
 	s := one()
