--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -116,6 +116,8 @@
 	took    decide.Time
 	load    decide.Load
 	status  int
+	reused  int               // calls that its connection carried before
+	idle    time.Duration     // of the connection, before the call
 	spoilt  bool              // an answer came and cannot be believed
 	ends    map[string]ending // by id: those that fared otherwise
 	err     error
@@ -216,6 +218,7 @@
 	told := false
 	keep := readAnswer(conn, req, parts, loads, func(o outcome) {
 		told = true
+		o.reused, o.idle = conn.calls, conn.idle
 		o.took = time.Since(began).Microseconds()
 		if o.what == decide.Reset {
 			o.what = c.unanswered(ctx)
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -769,6 +769,7 @@
 	if o.what != decide.Delivered {
 		r.log.Info("attempt", "message", m.rec.ID, "dest", m.rec.Dest, "class", m.rec.Class, "endpoint", e.Endpoint,
 			"attempt", e.Attempt, "together", len(c.msgs), "outcome", int(o.what), "status", o.status, "took_ms", o.took/1000,
+			"conn_reused", o.reused, "conn_idle_ms", o.idle.Milliseconds(),
 			"err", o.err)
 	}
 	switch {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -53,10 +53,12 @@
 // poolConn is one connection, held by one call or idle.
 type poolConn struct {
 	net.Conn
-	home *home
-	in   *bufio.Reader
-	left int64 // bytes that may still be read for the answer
-	at   time.Time
+	home  *home
+	in    *bufio.Reader
+	left  int64         // bytes that may still be read for the answer
+	at    time.Time     // the end of its last call
+	calls int           // that it carried before this one
+	idle  time.Duration // from the last of them to this one
 }
 
 // Read bounds what an answer may bring.
@@ -141,6 +143,7 @@
 		}
 		p.idle = append(p.idle[:i], p.idle[i+1:]...)
 		if !p.stale(c, now) && c.clean() {
+			c.calls, c.idle = c.calls+1, now.Sub(c.at)
 			p.mu.Unlock()
 			return c, nil
 		}
