Keep an endpoint's idle connections when one of them breaks and it goes on answering

Cause: every reset gave up all idle connections of its endpoint, as after a machine was away.

A reset now does so only where the endpoint has answered nothing for a second.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -32,7 +32,8 @@
 	probeWait   = 2 * time.Second        // a probe that takes longer has failed
 	idleMargin  = 10                     // one part in so many of the keep-alive is left unused
 	longestWait = 10 * time.Minute
-	loadMost    = 1e6 // no figure of a load report is higher
+	aliveWait   = decide.Time(1e6) // an endpoint that answered within this is not away
+	loadMost    = 1e6              // no figure of a load report is higher
 )
 
 // endpoint is one address of a destination, with its kept-alive connections.
@@ -57,8 +58,10 @@
 // them would hang or be reset under a call that may then have run.
 func (ep *endpoint) suspect(o *outcome, now decide.Time) bool {
 	switch o.what {
-	case decide.Reset, decide.NoConnect:
+	case decide.NoConnect:
 		return true
+	case decide.Reset: // one connection that broke, where the endpoint goes on answering on others
+		return ep.answerAt < now-aliveWait
 	case decide.TimedOut, decide.Cancelled:
 		return ep.answerAt < now-o.took // others that were sent later were answered: one slow call
 	}
