Ask discovery with jittered exponential backoff, spread over the size of the fleet

Checked: with 77 of the relays kept quiet, three hear within 6 s, so discovery is overloaded and not down; answers come after up to 2 s, so giving up after 1 s wastes its work. At fault: the fixed pause and the fixed answer time in discovery.go, and the whole list being asked for again after a refused watch.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -76,19 +77,24 @@
 	noticePath  = "/reports"
 	discSilence = 3500 * time.Millisecond // a watch says something every 2 s
 	discAnswer  = time.Second             // the agent answers at once, or is down
-	discPause   = 200 * time.Millisecond
-	listMost    = 4 << 20 // bytes of a list or a line
+	discPause   = 200 * time.Millisecond  // the first pause of a small fleet, at most
+	discLong    = 8                       // times the first pause is the longest
+	discTurn    = 60 * time.Millisecond   // discovery is thought to take this for one relay's request
+	discQueue   = 3 * time.Second         // no answer is waited for longer, however large the fleet
+	discRound   = 5 * time.Second         // nor does a first pause last longer: word counts as told after 6 s
+	discMost    = 10 * time.Second        // and no later one longer than this
+	listMost    = 4 << 20                 // bytes of a list or a line
 )
 
 // newPlainClient makes a client for the agent on this machine: few kept
 // connections, no proxy, no second protocol.
-func newPlainClient(conns int) *http.Client {
+func newPlainClient(conns int, answer time.Duration) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:           (&net.Dialer{Timeout: discAnswer}).DialContext,
 			MaxIdleConnsPerHost:   conns,
 			MaxConnsPerHost:       conns,
-			ResponseHeaderTimeout: discAnswer,
+			ResponseHeaderTimeout: answer,
 			IdleConnTimeout:       30 * time.Second,
 			DisableCompression:    true,
 			Protocols:             http1(),
@@ -111,12 +117,30 @@
 	log     *slog.Logger
 	client  *http.Client
 	silence time.Duration
-	news    func(*List) // called in order
+	answer  time.Duration // how long an answer is waited for
+	round   time.Duration // in which all relays together ask once again
+	news    func(*List)   // called in order
 }
 
-func newDiscovery(addr string, log *slog.Logger, news func(*List)) *discovery {
-	return &discovery{addr: addr, moves: newMailbox[string](), log: log, client: newPlainClient(4),
-		silence: discSilence, news: news}
+// newDiscovery makes the discovery of one of so many relays. Where they are
+// many, what each does by itself adds up: all lose their watch at one moment,
+// and one that asks at a steady pace, or gives an answer up that is still in
+// the queue, keeps discovery overloaded for good.
+func newDiscovery(addr string, relays int, log *slog.Logger, news func(*List)) *discovery {
+	all := time.Duration(relays) * discTurn
+	answer := min(max(all, discAnswer), discQueue)
+	return &discovery{addr: addr, moves: newMailbox[string](), log: log, client: newPlainClient(4, answer),
+		silence: discSilence, answer: answer, round: min(max(all, discPause), discRound), news: news}
+}
+
+// pause is how long to leave discovery alone after so many failures in a row;
+// u is a draw from [0, 1), so that relays that failed in step do not come again in step.
+func (d *discovery) pause(failed int, u float64) time.Duration {
+	most := min(d.round*discLong, discMost)
+	if failed < 8 { // more doublings pass it anyway
+		most = min(d.round<<max(failed-1, 0), most)
+	}
+	return time.Duration((0.1 + 0.9*u) * float64(most))
 }
 
 // run watches one address after another until ctx ends.
@@ -129,7 +153,7 @@
 	d.base = "http://" + addr
 	defer d.client.CloseIdleConnections()
 	rev, whole := int64(0), false
-	for ctx.Err() == nil {
+	for failed := 0; ctx.Err() == nil; {
 		var err error
 		if !whole {
 			var l *List
@@ -138,12 +162,17 @@
 				d.news(l)
 			}
 		}
+		failed++
 		if whole {
-			rev, whole, err = d.watch(ctx, rev)
+			heard := false
+			if rev, whole, heard, err = d.watch(ctx, rev); heard {
+				failed = 1
+			}
 		}
 		if ctx.Err() == nil {
-			d.log.Warn("discovery: watch over", "revision", rev, "whole", whole, "err", err)
-			sleep(ctx, discPause)
+			pause := d.pause(failed, rand.Float64())
+			d.log.Warn("discovery: watch over", "revision", rev, "whole", whole, "pause_ms", pause.Milliseconds(), "err", err)
+			sleep(ctx, pause)
 		}
 	}
 }
@@ -159,7 +188,7 @@
 
 // fetch asks once for the whole list.
 func (d *discovery) fetch(ctx context.Context) (*List, error) {
-	ctx, cancel := context.WithTimeout(ctx, discAnswer)
+	ctx, cancel := context.WithTimeout(ctx, d.answer)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+listPath, nil)
 	if err != nil {
@@ -186,8 +215,9 @@
 
 // watch follows the changes after a version. whole tells whether the list is
 // still known up to the version that it returns; after a line that cannot be
-// read it is not, and the whole list must be had again.
-func (d *discovery) watch(ctx context.Context, from int64) (rev int64, whole bool, err error) {
+// read it is not, and the whole list must be had again. heard tells that
+// discovery took the watch.
+func (d *discovery) watch(ctx context.Context, from int64) (rev int64, whole, heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	quiet := time.AfterFunc(d.silence, func() { cancel(errors.New("silent")) })
@@ -195,33 +225,39 @@
 	url := d.base + listPath + "?watch=1&from=" + strconv.FormatInt(from, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return from, true, fmt.Errorf("discovery: %w", err)
+		return from, true, false, fmt.Errorf("discovery: %w", err)
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
-		return from, true, fmt.Errorf("discovery: %w", err)
+		return from, true, false, fmt.Errorf("discovery: %w", err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return from, false, fmt.Errorf("discovery: watch: status %d", resp.StatusCode)
+		// One that is overloaded says nothing of the version, and asking it for
+		// the whole list besides would double what it has to do.
+		return from, resp.StatusCode >= 500, false, fmt.Errorf("discovery: watch: status %d", resp.StatusCode)
 	}
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 4096), listMost)
 	for rev = from; lines.Scan(); {
 		quiet.Reset(d.silence)
+		if !heard {
+			d.log.Info("discovery: watching", "revision", from)
+		}
+		heard = true
 		text := bytes.TrimSpace(lines.Bytes())
 		if len(text) == 0 {
 			continue
 		}
 		l, err := parseList(text)
 		if err != nil {
-			return rev, false, err
+			return rev, false, heard, err
 		}
 		rev = l.Revision
 		d.news(l)
 	}
 	if err = lines.Err(); errors.Is(err, bufio.ErrTooLong) {
-		return rev, false, fmt.Errorf("discovery: %w", err)
+		return rev, false, heard, fmt.Errorf("discovery: %w", err)
 	}
 	if err == nil {
 		err = io.EOF
@@ -229,7 +265,7 @@
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
-	return rev, true, fmt.Errorf("discovery: %w", err)
+	return rev, true, heard, fmt.Errorf("discovery: %w", err)
 }
 
 // Words for the ends that a notice tells.
@@ -266,7 +302,7 @@
 }
 
 func newNotices(addr string, log *slog.Logger, taken func(string)) *notices {
-	return &notices{addr: addr, moves: newMailbox[string](), log: log, client: newPlainClient(2),
+	return &notices{addr: addr, moves: newMailbox[string](), log: log, client: newPlainClient(2, discAnswer),
 		in: newMailbox[notice](), taken: taken}
 }
 
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -17,7 +18,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	news, done := make(chan *List, 64), make(chan struct{})
-	x := newDiscovery(d.addr(), quietLog(), func(l *List) { news <- l })
+	x := newDiscovery(d.addr(), 3, quietLog(), func(l *List) { news <- l })
 	x.silence = silence
 	go func() { defer close(done); x.run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
@@ -82,6 +83,47 @@
 	waitFor(t, "a second watch", func() bool { d.mu.Lock(); defer d.mu.Unlock(); return len(d.froms) >= 2 })
 }
 
+// Guards discovery against a fleet that lost it at one moment: in every span of
+// an asking's cost there is at most a few relays' worth of askings, whatever
+// their number, and a small fleet still asks soon.
+func TestFleetAsksSpreadOut(t *testing.T) {
+	for _, relays := range []int{3, 80} {
+		d := newDiscovery("127.0.0.1:1", relays, quietLog(), nil)
+		rng := rand.New(rand.NewPCG(1, 2))
+		span := 10 * discTurn
+		asked := map[time.Duration]int{} // by span
+		for range relays {
+			at := time.Duration(0)
+			for failed := 1; at < time.Minute; failed++ {
+				at += d.pause(failed, rng.Float64())
+				asked[at/span]++
+			}
+		}
+		for at, n := range asked {
+			if n > max(25, relays*3) || relays > 3 && n > 30 {
+				t.Errorf("%d relays: %d askings in the %v from %v", relays, n, span, at*span)
+			}
+		}
+	}
+	if d := newDiscovery("127.0.0.1:1", 3, quietLog(), nil); d.pause(1, 0.99) > discPause || d.answer != discAnswer {
+		t.Errorf("three relays: first pause up to %v, answer within %v", d.pause(1, 0.99), d.answer)
+	}
+}
+
+// Guards an overloaded discovery against double work: a watch that it refuses
+// goes on from the version reached, without the whole list.
+func TestRefusedWatchKeepsVersion(t *testing.T) {
+	d := newFakeDiscovery(t, Member{ID: "s-1", HostPort: "127.0.0.1:1", Phase: phaseUp})
+	d.set(func(d *fakeDiscovery) { d.refuse = 2 })
+	next(t, watchList(t, d, testLimit))
+	waitFor(t, "a watch", func() bool { d.mu.Lock(); defer d.mu.Unlock(); return len(d.froms) == 1 })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.fetches != 1 || d.froms[0] != "1" || d.refuse != 0 {
+		t.Errorf("%d fetches, watch from %s, %d refusals left", d.fetches, d.froms[0], d.refuse)
+	}
+}
+
 // Guards the start against silent discovery: the relay answers with the list
 // that it was given.
 func TestStartWithoutDiscovery(t *testing.T) {
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -83,6 +83,7 @@
 	answer   int // status of notices
 	silent   bool
 	unheard  int // requests that came while silent
+	refuse   int // watches that are still to be refused
 	released chan struct{}
 }
 
@@ -114,6 +115,12 @@
 		d.mu.Unlock()
 		return
 	}
+	if d.refuse > 0 {
+		d.refuse--
+		d.mu.Unlock()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	lines := make(chan string, 16)
 	d.lines = append(d.lines, lines)
 	d.froms = append(d.froms, r.URL.Query().Get("from"))
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -142,7 +142,7 @@
 	defer held.release()
 	r.share(len(held.foreign) > 0)
 	elder := r.meet()
-	r.discovery = newDiscovery(cfg.Discovery, log, func(l *List) { r.in.put(happening{news: l}) })
+	r.discovery = newDiscovery(cfg.Discovery, cfg.Policy.Relays, log, func(l *List) { r.in.put(happening{news: l}) })
 	r.notices = newNotices(cfg.Discovery, log, func(id string) { r.wal.submit(&record{Kind: recEnd, ID: id}, nil) })
 	r.agent, r.reload = cfg.Discovery, re
 	go r.discovery.run(ctx)
