Start discovery with a watch from the known list, at each relay's own moment

Answers of 503 came 2.0 s after each asking, and successes only once arrivals fell under about 15 a second: the queue works off what has been given up, and the start fills it with two requests of each relay at one moment. Ruled out: answer time too short (3 s changes 503 for time-outs, not their number). At fault: discovery.at asking for the whole list that the configuration already holds, all relays at once, and a first new try before the others' requests are worked off. firstList now waits 0.3 s where a list is known: restarts take 0.3 s in place of 1.5 s.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -77,12 +77,11 @@
 	noticePath  = "/reports"
 	discSilence = 3500 * time.Millisecond // a watch says something every 2 s
 	discAnswer  = time.Second             // the agent answers at once, or is down
-	discPause   = 200 * time.Millisecond  // the first pause of a small fleet, at most
-	discLong    = 8                       // times the first pause is the longest
+	discPause   = 200 * time.Millisecond  // the round of a small fleet
+	discMost    = 1600 * time.Millisecond // its longest pause is about this
 	discTurn    = 60 * time.Millisecond   // discovery is thought to take this for one relay's request
 	discQueue   = 3 * time.Second         // no answer is waited for longer, however large the fleet
-	discRound   = 5 * time.Second         // nor does a first pause last longer: word counts as told after 6 s
-	discMost    = 10 * time.Second        // and no later one longer than this
+	discRound   = 30 * time.Second        // nor does a round last longer
 	listMost    = 4 << 20                 // bytes of a list or a line
 )
 
@@ -113,6 +112,7 @@
 type discovery struct {
 	addr    string
 	base    string           // of the address that is watched now
+	known   *List            // had before it was first asked
 	moves   *mailbox[string] // further addresses, each in the place of the one before
 	log     *slog.Logger
 	client  *http.Client
@@ -122,37 +122,45 @@
 	news    func(*List)   // called in order
 }
 
-// newDiscovery makes the discovery of one of so many relays. Where they are
-// many, what each does by itself adds up: all lose their watch at one moment,
-// and one that asks at a steady pace, or gives an answer up that is still in
-// the queue, keeps discovery overloaded for good.
-func newDiscovery(addr string, relays int, log *slog.Logger, news func(*List)) *discovery {
+// newDiscovery makes the discovery of one of so many relays; known is the list
+// that this one has already, or nil. Where relays are many, what each does by
+// itself adds up: all start or lose their watch at one moment, and if each asks
+// at once, or at a steady pace, or gives an answer up that is still in the
+// queue, discovery stays overloaded for good. A round is the time that it takes
+// for one request of each.
+func newDiscovery(addr string, relays int, known *List, log *slog.Logger, news func(*List)) *discovery {
 	all := time.Duration(relays) * discTurn
 	answer := min(max(all, discAnswer), discQueue)
-	return &discovery{addr: addr, moves: newMailbox[string](), log: log, client: newPlainClient(4, answer),
+	return &discovery{addr: addr, known: known, moves: newMailbox[string](), log: log, client: newPlainClient(4, answer),
 		silence: discSilence, answer: answer, round: min(max(all, discPause), discRound), news: news}
 }
 
 // pause is how long to leave discovery alone after so many failures in a row;
-// u is a draw from [0, 1), so that relays that failed in step do not come again in step.
+// u is a draw from [0, 1). At first the requests of the others, that failed in
+// step, are waited out: what comes behind them would be given up in the queue.
 func (d *discovery) pause(failed int, u float64) time.Duration {
-	most := min(d.round*discLong, discMost)
+	most := max(d.round*3/2, discMost)
 	if failed < 8 { // more doublings pass it anyway
 		most = min(d.round<<max(failed-1, 0), most)
 	}
-	return time.Duration((0.1 + 0.9*u) * float64(most))
+	return time.Duration((0.5 + u) * float64(most))
 }
 
 // run watches one address after another until ctx ends.
 func (d *discovery) run(ctx context.Context) { atEach(ctx, d.addr, d.moves, d.at) }
 
 // at watches one address. Versions are that address's own, so it begins with
-// the whole list. What is heard is passed on with no delay: the grace after
+// the whole list, but at the start of a relay that has one already: there a watch
+// brings what is new, at a moment of the round that no other relay keeps to. What is heard is passed on with no delay: the grace after
 // word of a drain counts from when discovery wrote it.
 func (d *discovery) at(ctx context.Context, addr string) {
 	d.base = "http://" + addr
 	defer d.client.CloseIdleConnections()
 	rev, whole := int64(0), false
+	if d.known != nil && len(d.known.Members) > 0 {
+		rev, whole, d.known = d.known.Revision, true, nil
+		sleep(ctx, time.Duration(rand.Float64()*float64(d.round)))
+	}
 	for failed := 0; ctx.Err() == nil; {
 		var err error
 		if !whole {
@@ -241,12 +249,15 @@
 	lines.Buffer(make([]byte, 0, 4096), listMost)
 	for rev = from; lines.Scan(); {
 		quiet.Reset(d.silence)
-		if !heard {
+		first := !heard
+		if heard = true; first {
 			d.log.Info("discovery: watching", "revision", from)
 		}
-		heard = true
 		text := bytes.TrimSpace(lines.Bytes())
 		if len(text) == 0 {
+			if first { // nothing is new, which the start waits to hear
+				d.news(&List{Revision: rev})
+			}
 			continue
 		}
 		l, err := parseList(text)
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -25,6 +25,7 @@
 	stopCalls  = 3300 * time.Millisecond // what is out by then stays open in the log
 	stopRetry  = 400                     // ms after which a client may come again, to another relay
 	firstList  = 1500 * time.Millisecond // how long the start waits for discovery
+	firstNews  = 300 * time.Millisecond  // the same where a list is known: clients have waited enough
 	forgetGone = decide.Time(10e6)       // how long an endpoint that left is remembered
 	clockStart = decide.Time(3600e6)     // of the policy's clock: sends of an earlier process lie before it
 )
@@ -142,7 +143,7 @@
 	defer held.release()
 	r.share(len(held.foreign) > 0)
 	elder := r.meet()
-	r.discovery = newDiscovery(cfg.Discovery, cfg.Policy.Relays, log, func(l *List) { r.in.put(happening{news: l}) })
+	r.discovery = newDiscovery(cfg.Discovery, cfg.Policy.Relays, cfg.Known, log, func(l *List) { r.in.put(happening{news: l}) })
 	r.notices = newNotices(cfg.Discovery, log, func(id string) { r.wal.submit(&record{Kind: recEnd, ID: id}, nil) })
 	r.agent, r.reload = cfg.Discovery, re
 	go r.discovery.run(ctx)
@@ -197,11 +198,13 @@
 // be old, and an endpoint that drained since must not be sent to. Where
 // discovery is silent the old one has to do.
 func (r *Relay) firstList() {
-	limit := time.NewTimer(firstList)
-	defer limit.Stop()
-	if r.cfg.Known != nil {
+	wait := firstList
+	if r.cfg.Known != nil && len(r.cfg.Known.Members) > 0 {
 		r.list(r.cfg.Known, decide.ListCached)
+		wait = firstNews
 	}
+	limit := time.NewTimer(wait)
+	defer limit.Stop()
 	var got []happening
 	for heard := false; ; {
 		select {
