Give each relay of a large fleet an even part of a destination's rate

Ruled out: wrong rates (x1 is within a fifth of the listed rate) and waits not heeded (none). At fault: pace gives each relay rate / relays^0.75, and never under sqrt(rate)/2, which 80 relays add up to 3 to 25 times the rate; depth lets each save up sqrt(rate) calls; the rest after a refusal ends after an aim, before the fleet's turn is over. A relay whose part is under one call in two fall times now takes its first failure for an outage: with few calls, the third came when the destination was back.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -24,6 +24,10 @@
 	boostRise   = 1.08 // pace after a success that the pace had kept waiting
 	boostLeast  = 0.5
 	shareRoot   = 0.75 // a share is the rate over relays to this power: small streams need room
+	shareMost   = 1.4  // but no more than this times an even part: the room of many relays adds up
+	thinMost    = 2.0  // the same where the even part is so small that chance alone passes it
+	thinPart    = 0.5  // calls of an even part in a fall time under which a relay sees too little
+	burstSpread = 2.0  // deviations of its own traffic that a relay may send at once
 	scoreKeep   = 0.7  // weight of the past in an endpoint's failure score
 	scoreSick   = 0.6  // most calls fail: three in a row from a clean start pass it
 	restGrowth  = 3.0  // a rest after a failure, to the time since the first of the run, with many relays
@@ -56,7 +60,7 @@
 	p.set.Classes = slices.Clone(s.Classes)
 	p.set.Streams = max(s.Streams, 1)
 	p.set.Tick = max(s.Tick, second/1000)
-	p.share = math.Pow(float64(s.Relays), shareRoot)
+	p.share = max(math.Pow(float64(s.Relays), shareRoot), float64(s.Relays)/shareMost)
 	tight := make([]float64, max(len(s.Kinds), len(p.tight), 1)) // a destination may be of a kind of before
 	copy(tight, p.tight)
 	p.tight = tight
@@ -518,6 +522,7 @@
 	case Full:
 		l.window = max(l.window/2, 1)
 		l.boost = max(l.boost*boostFall, boostLeast)
+		l.tokens.tokens = min(l.tokens.tokens, max(p.part(l)-1, 0)) // that room is gone
 		if l.fullRun++; l.fullRun == 1 {
 			l.fullAt = p.now
 		}
@@ -526,7 +531,7 @@
 		}
 		rate, _ := p.budgetRate(ep)
 		age := float64(p.now-l.fullAt) / float64(second)
-		turn := min(float64(p.set.Relays)/p.capacity(l), float64(c.msgs[0].class.Aim)/float64(second))
+		turn := min(1/p.part(l), float64(c.msgs[0].class.Deadline)/2/float64(second))
 		gap := float64(second) * max(turn, 1/p.depth(l), min(1/rate, p.growth(l)*age))
 		l.pauseUntil = p.now + Time(gap*(0.5+p.rng.Float64()))
 		if e.Wait > 0 { // all who were told wake together: each comes at a moment of its own
@@ -591,7 +596,7 @@
 	if ep.goodAt == 0 || ep.score >= scoreSick { // where most calls pass, a failure does not undo the ramp
 		ep.badAt, ep.goodAt, ep.mute = p.now, 0, mute
 	}
-	if ep.sick || ep.score < scoreSick {
+	if ep.sick || ep.score < scoreSick && !p.thin(ep.lane) {
 		ep.restUntil = p.now + Time(p.growth(ep.lane)*float64(p.now-ep.firstBad)) // until the verdict is in
 		return
 	}
@@ -711,6 +716,15 @@
 	return cmp.Or(l.limit, l.nominal, max(l.hist.acceptRate(p.now)*float64(p.set.Relays), 1))
 }
 
+// part is this relay's even part of that.
+func (p *Policy) part(l *lane) float64 { return p.capacity(l) / float64(p.set.Relays) }
+
+// thin: this relay's part is so small that a run of failures would outlast the time in which a cold
+// destination falls. Its first failure has to be the verdict, or all relays come at it as to a sound one.
+func (p *Policy) thin(l *lane) bool {
+	return p.part(l)*float64(p.set.FallTime)/float64(second) < thinPart
+}
+
 // growth is a rest to the age of a run of failures: less where few relays send there much each.
 func (p *Policy) growth(l *lane) float64 {
 	whole := sharerPart * p.capacity(l) * float64(p.set.FallTime) / float64(second)
@@ -723,12 +737,16 @@
 		return float64(p.set.Slots) * 2
 	}
 	whole := p.capacity(l)
-	return max(whole/p.share, math.Sqrt(whole)/2) * l.boost
+	return max(whole/p.share, min(math.Sqrt(whole)/2, thinMost*p.part(l))) * l.boost
 }
 
 // depth is how many calls a lane may save up: as much as chance alone moves a second of what all relays
-// send there together, which the destination must stand anyway.
-func (p *Policy) depth(l *lane) float64 { return max(1, math.Sqrt(p.capacity(l))) }
+// send there together, which the destination must stand anyway; but where relays are many, no more than
+// chance moves what this one sends there within an aim, since all of them may have saved up as much.
+func (p *Policy) depth(l *lane) float64 {
+	own := p.part(l) * float64(p.set.Classes[0].Aim) / float64(second)
+	return max(1, min(math.Sqrt(p.capacity(l)), 1+burstSpread*math.Sqrt(own)))
+}
 
 // dropped draws by the formula. A drop is counted and spends the lane's token; the message stays held for a
 // later draw.
--- /dev/null
+++ b/decide/fleet_test.go
@@ -0,0 +1,118 @@
+package decide
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// fleet plays many policies on one clock against one destination that takes
+// rate calls a second from all of them, and whose refusals use that up too. It
+// returns how many messages came, how many calls were taken and how many refused.
+func fleet(t *testing.T, relays int, rate float64, arrivals func(at float64) float64) (came, taken, refused int) {
+	t.Helper()
+	const tick = second / 100
+	s := one()
+	s.Relays = relays
+	rng := rand.New(rand.NewPCG(7, 7))
+	type relay struct {
+		p     *Policy
+		next  uint32
+		tries map[uint32]int
+		due   [][]Event // answers on their way, a list for each tick
+	}
+	all := make([]*relay, relays)
+	for i := range all {
+		p, err := New(s, uint64(i+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		all[i] = &relay{p: p, next: 1, tries: map[uint32]int{}, due: make([][]Event, 10)}
+		all[i].due[0] = []Event{{Kind: EvList, List: ListFull, Entries: []Entry{ready(1, rate)}}}
+	}
+	depth := rate / 2
+	left := depth
+	for step := range 2000 {
+		now := 1000*second + Time(step)*tick
+		left = min(left+rate*float64(tick)/float64(second), depth)
+		for n := arrivals(float64(step)/100) / 100; n > 0; n-- {
+			if rng.Float64() < n {
+				r := all[rng.IntN(relays)]
+				came++
+				r.due[step%10] = append(r.due[step%10], Event{Kind: EvMessage, Message: r.next, Left: 12 * second})
+				r.next++
+			}
+		}
+		for _, r := range all {
+			events := r.due[step%10]
+			r.due[step%10] = nil
+			for _, a := range r.p.Step(now, events, nil) {
+				if a.Kind != ActSend {
+					continue
+				}
+				e := answer(a, Delivered)
+				if left < 1 {
+					refused++
+					e.Outcome = Full
+				} else {
+					taken++
+				}
+				left--
+				e.Took, e.Load = 90000, Load{Left: max(left, 0) / depth, Limit: rate}
+				e.Attempt = r.tries[a.Message]
+				r.tries[a.Message]++
+				r.due[(step+9)%10] = append(r.due[(step+9)%10], e)
+			}
+		}
+	}
+	return came, taken, refused
+}
+
+// TestFleetKeepsToALimit: many relays that see little each must not ask a destination for more than it
+// takes, or the refusals use up what it would have taken: not on a usual day, not after a clump, not when
+// more comes than it takes.
+func TestFleetKeepsToALimit(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		relays   int
+		rate     float64
+		arrivals func(float64) float64
+		least    float64 // of what could be taken
+		most     float64 // refusals to calls taken
+	}{
+		{"usual", 80, 100, func(float64) float64 { return 75 }, 0.93, 0.05},
+		{"clump", 80, 100, func(at float64) float64 {
+			if at > 5 && at < 6 {
+				return 275
+			}
+			return 75
+		}, 0.8, 0.3},
+		{"more than it takes", 80, 100, func(float64) float64 { return 130 }, 0.67, 0.52},
+		{"small", 80, 16, func(float64) float64 { return 12 }, 0.8, 0.25},
+	} {
+		came, taken, refused := fleet(t, c.relays, c.rate, c.arrivals)
+		could := min(float64(came), c.rate*20)
+		t.Logf("%s: came %d, taken %d (%.2f of what could be), refused %d (%.2f)", c.name, came, taken,
+			float64(taken)/could, refused, float64(refused)/float64(taken))
+		if float64(taken) < c.least*could || float64(refused) > c.most*float64(taken) {
+			t.Errorf("%s: of %d messages %d taken, %d refused", c.name, came, taken, refused)
+		}
+	}
+}
+
+// TestPartsAddUp: what each relay may send a second, and what it may have saved
+// up, is little more than a limit when all relays are added up.
+func TestPartsAddUp(t *testing.T) {
+	for _, rate := range []float64{14, 40, 110} {
+		s := one()
+		s.Relays = 80
+		r := newRig(t, s, ready(1, rate))
+		l := r.p.eps[1].lane
+		if all := 80 * r.p.pace(l); all > 2*rate {
+			t.Errorf("limit %v: %v calls a second of all relays together", rate, all)
+		}
+		r.p.observe(&call{ep: r.p.eps[1], sent: r.now, msgs: []*message{{class: &r.p.set.Classes[0]}}}, &Event{Kind: EvOutcome, Outcome: Full})
+		if all := 80 * l.tokens.level(r.now, r.p.pace(l), r.p.depth(l)); all > rate {
+			t.Errorf("limit %v: %v calls saved up by all relays after a refusal", rate, all)
+		}
+	}
+}
