--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -110,6 +110,7 @@
 		if all := 80 * r.p.pace(l); all > 2*rate {
 			t.Errorf("limit %v: %v calls a second of all relays together", rate, all)
 		}
+		l.tokens.take(r.now, 1, r.p.pace(l), r.p.depth(l))
 		r.p.observe(&call{ep: r.p.eps[1], sent: r.now, msgs: []*message{{class: &r.p.set.Classes[0]}}}, &Event{Kind: EvOutcome, Outcome: Full})
 		if all := 80 * l.tokens.level(r.now, r.p.pace(l), r.p.depth(l)); all > rate {
 			t.Errorf("limit %v: %v calls saved up by all relays after a refusal", rate, all)
