Do not take an outage for a want of connections

At fault: observe counts every refused connection as a sign that they run out, so three destinations in an outage make keep() give all idle ones of that kind back after KeepAlive*2/relays, 0.25 s. They count now once the endpoint has answered again without having been held to be out.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -503,9 +503,15 @@
 		l.limit = e.Load.Limit
 	}
 	if t := &p.tight[l.dest.kindAt]; e.Outcome == NoConnect {
-		*t += (1 - *t) / tightSpan
+		ep.missed++
 	} else {
 		*t -= *t / tightSpan
+		// Only where the endpoint turns out to live were its connections what was missing.
+		for ; ep.missed > 0 && e.Outcome == Delivered; ep.missed-- {
+			if !ep.sick {
+				*t += (1 - *t) / tightSpan
+			}
+		}
 	}
 	switch e.Outcome {
 	case Delivered:
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -117,3 +117,28 @@
 		}
 	}
 }
+
+// TestOutageIsNoScarcity: connections that an endpoint in an outage refuses say
+// nothing of how many it can hold; those that are missed while it goes on
+// answering do.
+func TestOutageIsNoScarcity(t *testing.T) {
+	for _, refused := range []int{1, 6} { // between two answers
+		r := newRig(t, one(), ready(1, 1000))
+		ep := r.p.eps[1]
+		for range 4 {
+			for i := range refused + 1 {
+				r.now += second / 10
+				c := &call{ep: ep, sent: r.now, msgs: []*message{{class: &r.p.set.Classes[0]}}}
+				if e := (Event{Kind: EvOutcome, Outcome: NoConnect}); i < refused {
+					r.p.observe(c, &e)
+				} else {
+					e.Outcome = Delivered
+					r.p.observe(c, &e)
+				}
+			}
+		}
+		if tight := r.p.tight[0] > noConnTight; tight != (refused == 1) {
+			t.Errorf("%d refused before each answer: connections taken to run out: %v (%.2f)", refused, tight, r.p.tight[0])
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -82,6 +82,7 @@
 	state     Readiness
 	flying    int
 	conns     int
+	missed    int  // connections that did not come up since the last success
 	restUntil Time // failing, but not yet held to be out
 	idleAt    Time // end of the last call
 	watched   bool // a look at its idle connections is put off
