Keep the pace of a busy lane under its even part in a large fleet

Seen on the fake clock with 80 policies: at a limit of 100 and 130 arrivals a second, 221 refused for 1,817 taken, and the pace of each stays at 1.0 to 2.0 even parts: thinMost, meant for lanes where chance alone passes the part, is the larger term at every size, and half of it is the least. At fault: thinMost 2.0 with boostLeast 0.5. With 1.6 and 0.6 the least is 0.96 of the even part; a burst is 1.65 deviations, as much as a dozen relays need to pass three calls at once. Ruled out by the same probe: shutTurns 3 to 6 and shareMost 1.2 (no change), thinMost 1.4 (0.99 taken at 100, but 0.40 for 0.64 at a limit of 16).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -24,12 +24,12 @@
 	fallRoot    = 0.2  // the same of many, by this power: each hears of few of the refusals
 	boostRise   = 1.08 // pace after a success that the pace had kept waiting
 	leftRise    = 0.5  // share of the allowance left at which it may rise
-	boostLeast  = 0.5
+	boostLeast  = 0.6
 	shareRoot   = 0.75 // a share is the rate over relays to this power: small streams need room
 	shareMost   = 1.4  // but no more than this times an even part: the room of many relays adds up
-	thinMost    = 2.0  // the same where the even part is so small that chance alone passes it
+	thinMost    = 1.6  // the same where the even part is so small that chance alone passes it
 	thinPart    = 0.5  // calls of an even part in a fall time under which a relay sees too little
-	burstSpread = 2.0  // deviations of its own traffic that a relay may send at once
+	burstSpread = 1.65  // deviations of its own traffic that a relay may send at once
 	scoreKeep   = 0.7  // weight of the past in an endpoint's failure score
 	scoreSick   = 0.6  // most calls fail: three in a row from a clean start pass it
 	restGrowth  = 3.0  // a rest after a failure, to the time since the first of the run, with many relays
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -86,7 +86,7 @@
 			}
 			return 75
 		}, 0.85, 0.15},
-		{"more than it takes", 80, 100, func(float64) float64 { return 130 }, 0.85, 0.15},
+		{"more than it takes", 80, 100, func(float64) float64 { return 130 }, 0.94, 0.09},
 		{"small", 80, 16, func(float64) float64 { return 12 }, 0.95, 0.05},
 		{"small, more than it takes", 80, 16, func(float64) float64 { return 22 }, 0.6, 0.45},
 	} {
