--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,7 +29,7 @@
 	shareMost   = 1.4  // but no more than this times an even part: the room of many relays adds up
 	thinMost    = 1.6  // the same where the even part is so small that chance alone passes it
 	thinPart    = 0.5  // calls of an even part in a fall time under which a relay sees too little
-	burstSpread = 1.65  // deviations of its own traffic that a relay may send at once
+	burstSpread = 1.65 // deviations of its own traffic that a relay may send at once
 	scoreKeep   = 0.7  // weight of the past in an endpoint's failure score
 	scoreSick   = 0.6  // most calls fail: three in a row from a clean start pass it
 	restGrowth  = 3.0  // a rest after a failure, to the time since the first of the run, with many relays
