--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -151,15 +151,17 @@
 
 // at watches one address. Versions are that address's own, so it begins with
 // the whole list, but at the start of a relay that has one already: there a watch
-// brings what is new, at a moment of the round that no other relay keeps to. What is heard is passed on with no delay: the grace after
-// word of a drain counts from when discovery wrote it.
+// brings what is new. It is asked for at once, however many relays start: what
+// the agent on this machine has counts as told, so a relay that waited for its
+// turn would send to endpoints that it is held to know as draining. Those that
+// are refused then are spread by their pauses. What is heard is passed on with
+// no delay: the grace after word of a drain counts from when discovery wrote it.
 func (d *discovery) at(ctx context.Context, addr string) {
 	d.base = "http://" + addr
 	defer d.client.CloseIdleConnections()
 	rev, whole := int64(0), false
 	if d.known != nil && len(d.known.Members) > 0 {
 		rev, whole, d.known = d.known.Revision, true, nil
-		sleep(ctx, time.Duration(rand.Float64()*float64(d.round)))
 	}
 	for failed := 0; ctx.Err() == nil; {
 		var err error
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -130,6 +130,22 @@
 	}
 }
 
+// Guards the rule on drains at a restart in a large fleet: what the agent has
+// counts as told from the start, so the first watch waits for no turn.
+func TestLargeFleetStartsWatchingAtOnce(t *testing.T) {
+	d := newFakeDiscovery(t, Member{ID: "s-1", HostPort: "127.0.0.1:1", Phase: phaseUp})
+	ctx, cancel := context.WithCancel(context.Background())
+	news, done := make(chan *List, 64), make(chan struct{})
+	x := newDiscovery(d.addr(), 300, &List{Revision: 7, Complete: true, Members: d.list.Members}, quietLog(),
+		func(l *List) { news <- l })
+	x.round = 1000 * time.Hour
+	go func() { defer close(done); x.run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	if l := next(t, news); l.Revision != 7 {
+		t.Errorf("first %+v", l)
+	}
+}
+
 // Guards an overloaded discovery against double work: a watch that it refuses
 // goes on from the version reached, without the whole list.
 func TestRefusedWatchKeepsVersion(t *testing.T) {
