Draw a route by its rate where a relay sees too little to tell which is busy

A relay's own view at the time: says="dest 2: waiting 6, out 0, window 1, ... requests 1, accepts 0, pace 0.1, limit 29.8" At fault: choose, whose cost is distance, time and calls out: all relays judge those alike, and at one call in ten seconds none learns that the route they all prefer is full. Ruled out: wrong rates (x1 stays within a fifth of the list's), clumps (dest 2 had none).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -736,6 +736,11 @@
 	return p.part(l)*float64(p.set.FallTime)/float64(second) < thinPart
 }
 
+// sparse: this relay's part of a route is less than one call in an aim.
+func (p *Policy) sparse(l *lane) bool {
+	return p.part(l)*float64(p.set.Classes[0].Aim) < float64(second)
+}
+
 // growth is a rest to the age of a run of failures: less where few relays send there much each.
 func (p *Policy) growth(l *lane) float64 {
 	whole := sharerPart * p.capacity(l) * float64(p.set.FallTime) / float64(second)
@@ -808,7 +813,10 @@
 
 // ---- choose
 
-// choose picks the endpoint for a message: sound before cold before out, then the soonest answer.
+// choose picks the endpoint for a message: sound before cold before out, then the soonest answer. Where a
+// relay sees too little of the routes to tell which one is busy, it draws one by their rates: what all relays
+// prefer for its distance or its speed would get more than it takes, while the others have room. Harm: a call
+// may go to the slower one, on a new connection.
 func (p *Policy) choose(m *message) *endpoint {
 	var best *endpoint
 	low := math.Inf(1)
@@ -816,6 +824,10 @@
 		if !p.room(l) || !p.paced(l) {
 			continue
 		}
+		lot := 0.0
+		if len(m.dest.lanes) > 1 && p.sparse(l) {
+			lot = p.rng.ExpFloat64() / p.capacity(l)
+		}
 		for _, ep := range l.eps {
 			if !p.maySend(m, ep) {
 				continue
@@ -831,6 +843,9 @@
 			if ep.zone != p.set.Zone {
 				cost *= 1.5
 			}
+			if lot > 0 { // seconds: of one call there, drawn
+				cost = lot * float64(second)
+			}
 			if m.failedAt == ep { // another may do better, whatever the cause
 				cost += float64(m.class.Aim)
 			}
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -119,6 +119,31 @@
 	}
 }
 
+// TestRoutesByTheirRates: where a relay of many sees too little of the routes to tell which one is busy, they
+// get its calls in proportion to their rates, however near or quick one of them is. Few relays, that see enough
+// of each, go by the soonest answer.
+func TestRoutesByTheirRates(t *testing.T) {
+	for _, relays := range []int{2, 300} {
+		s := one()
+		s.Relays, s.Kinds = relays, []Kind{{Apart: true, Batch: 1}}
+		small, big := ready(1, 25), ready(2, 75)
+		big.Zone = 1
+		r := newRig(t, s, small, big)
+		r.p.eps[1].lat.add(float64(second / 20))
+		r.p.eps[2].lat.add(float64(second / 10))
+		m := &message{id: 1, class: &r.p.set.Classes[0], dest: r.p.dest(0), aimAt: r.now + second, deadline: r.now + 9*second}
+		n := 0
+		for range 2000 {
+			if r.p.choose(m) == r.p.eps[1] {
+				n++
+			}
+		}
+		if relays == 2 && n != 2000 || relays == 300 && (n < 400 || n > 600) {
+			t.Errorf("%d relays: %d of 2000 calls to the route with a quarter of the rate", relays, n)
+		}
+	}
+}
+
 // TestOutageIsNoScarcity: connections that an endpoint in an outage refuses say
 // nothing of how many it can hold; those that are missed while it goes on
 // answering do.
