Draw routes by rate only where a relay sees under a tenth of the calls

At fault: sparse, which looked at the relay's part alone. A route that takes 1.5 calls a second is under one call in an aim for each of three relays too, but each sees a third of its calls and learns from them.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,6 +29,7 @@
 	shareMost   = 1.4  // but no more than this times an even part: the room of many relays adds up
 	thinMost    = 1.6  // the same where the even part is so small that chance alone passes it
 	thinPart    = 0.5  // calls of an even part in a fall time under which a relay sees too little
+	sampleLeast = 0.1  // part of all calls that a relay must see to learn from its own how others fare
 	burstSpread = 1.65 // deviations of its own traffic that a relay may send at once
 	scoreKeep   = 0.7  // weight of the past in an endpoint's failure score
 	scoreSick   = 0.6  // most calls fail: three in a row from a clean start pass it
@@ -736,9 +737,11 @@
 	return p.part(l)*float64(p.set.FallTime)/float64(second) < thinPart
 }
 
-// sparse: this relay's part of a route is less than one call in an aim.
+// sparse: this relay sees next to nothing of what a lane does with the calls of all: few of them are its own,
+// and those come less than once in an aim.
 func (p *Policy) sparse(l *lane) bool {
-	return p.part(l)*float64(p.set.Classes[0].Aim) < float64(second)
+	return float64(p.set.Relays)*sampleLeast > 1 &&
+		p.part(l)*float64(p.set.Classes[0].Aim) < float64(second)
 }
 
 // growth is a rest to the age of a run of failures: less where few relays send there much each.
