Begin slowly after a restart with messages held, where many relays send little each

At fault: a lane's bucket starts full (bucket.level), harmless in one relay; 229 full buckets at a route of 30 a second are seven seconds of it in one moment, and refused calls use the limit up. Ruled out: old lists (heard in milliseconds), the log (ready 0.3 s after the start). Now: what an earlier process left has its destination's lanes begin at the least pace, with a random part of a token. What clients hand in at a start waits for nothing, as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -233,6 +233,9 @@
 	p.live = append(p.live, m)
 	p.later.add(m.deadline-p.margin(), func() { p.look(m) })
 	p.resume(m, e)
+	if e.Rules != nil {
+		p.ease(m.dest)
+	}
 	if e.OutOn != 0 {
 		p.carry(m, e)
 	} else {
@@ -249,6 +252,19 @@
 	}
 }
 
+// ease begins slowly at a destination that an earlier process of this relay left messages for. Where many
+// relays send little each, many may have been killed at one moment: each with a full bucket and a backlog,
+// they would ask for many times a limit at once, and the refusals use up what it would have taken. Harm: what
+// was held through a restart of this relay alone waits for up to a turn.
+func (p *Policy) ease(d *dest) {
+	for _, l := range d.lanes {
+		if p.sparse(l) && !l.tokens.used {
+			l.boost = boostLeast
+			l.tokens = bucket{at: p.now, tokens: p.rng.Float64(), used: true}
+		}
+	}
+}
+
 // carry books the call that another process has out for a message as one of this policy's own. Where its
 // endpoint is off the list by now, it still holds its slot.
 func (p *Policy) carry(m *message, e *Event) {
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -119,6 +119,36 @@
 	}
 }
 
+// TestFleetRestartsEasily: many relays that come back at one moment, each with messages that the process before
+// left, do not send them all at once; those that are handed in anew at a start wait for nothing.
+func TestFleetRestartsEasily(t *testing.T) {
+	const relays, rate = 300, 30
+	for _, left := range []bool{true, false} {
+		first, soon := 0, 0 // calls in the first turn, and in two seconds
+		for seed := range relays {
+			s := one()
+			s.Relays = relays
+			p, err := New(s, uint64(seed))
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.Step(1000*second, []Event{{Kind: EvList, List: ListCached, Entries: []Entry{ready(1, rate)}}}, nil)
+			e := Event{Kind: EvMessage, Message: 1, Left: 9 * second}
+			if left {
+				e.Rules = &s.Classes[0]
+			}
+			first += count(p.Step(1000*second, []Event{e}, nil), ActSend)
+			for at := Time(0); at < 2*second; at += second / 100 {
+				soon += count(p.Step(1000*second+at, []Event{{Kind: EvTimer}}, nil), ActSend)
+			}
+		}
+		if left && (first > 0 || soon < rate/2 || soon > 2*rate) || !left && first != relays {
+			t.Errorf("messages left by the process before: %v: %d calls at once, %d in two seconds, the destination takes %d a second",
+				left, first, soon, rate)
+		}
+	}
+}
+
 // TestRoutesByTheirRates: where a relay of many sees too little of the routes to tell which one is busy, they
 // get its calls in proportion to their rates, however near or quick one of them is. Few relays, that see enough
 // of each, go by the soonest answer.
