Keep the first pause after a failed watch under the time when word counts as told

Seen in the code and in newDiscovery's figures: with 300 relays a round is 18 s, and the first pause after one failed watch 9 to 27 s, while word counts as told 4 s after a SIGHUP that moves discovery and 6 s otherwise. At fault: pause, which starts its doubling from a whole round. It starts now from 2.5 s at most (1.25 to 3.75 s) and doubles to the round as before, so discovery that goes on refusing is left alone as long as it was.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -82,6 +82,7 @@
 	discTurn    = 60 * time.Millisecond   // discovery is thought to take this for one relay's request
 	discQueue   = 3 * time.Second         // no answer is waited for longer, however large the fleet
 	discRound   = 30 * time.Second        // nor does a round last longer
+	discTold    = 4 * time.Second         // after a move word counts as told so soon, whether it was asked for or not
 	listMost    = 4 << 20                 // bytes of a list or a line
 )
 
@@ -136,12 +137,15 @@
 }
 
 // pause is how long to leave discovery alone after so many failures in a row;
-// u is a draw from [0, 1). At first the requests of the others, that failed in
-// step, are waited out: what comes behind them would be given up in the queue.
+// u is a draw from [0, 1). The first lasts a round at most, in which the requests
+// of the others, that failed in step, are worked off: what comes behind them would
+// be given up in the queue. It is shorter where a round is longer than the time
+// after which word counts as told; only discovery that goes on failing is left
+// alone for longer than that.
 func (d *discovery) pause(failed int, u float64) time.Duration {
 	most := max(d.round*3/2, discMost)
 	if failed < 8 { // more doublings pass it anyway
-		most = min(d.round<<max(failed-1, 0), most)
+		most = min(min(d.round, discTold*5/8)<<max(failed-1, 0), most)
 	}
 	return time.Duration((0.5 + u) * float64(most))
 }
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -105,6 +105,9 @@
 			}
 		}
 	}
+	if d := newDiscovery("127.0.0.1:1", 300, nil, quietLog(), nil); d.pause(1, 0.99) >= discTold || d.pause(6, 0) < d.round/2 {
+		t.Errorf("300 relays: first pause up to %v, a later one from %v", d.pause(1, 0.99), d.pause(6, 0))
+	}
 	if d := newDiscovery("127.0.0.1:1", 3, nil, quietLog(), nil); d.pause(1, 0.99) > 2*discPause || d.answer != discAnswer {
 		t.Errorf("three relays: first pause up to %v, answer within %v", d.pause(1, 0.99), d.answer)
 	}
