--- a/decide/decide.go
+++ b/decide/decide.go
@@ -559,9 +559,17 @@
 		}
 		rate, _ := p.budgetRate(ep)
 		age := float64(p.now-l.fullAt) / float64(second)
-		turn := min(1/p.part(l), float64(c.msgs[0].class.Deadline)/2/float64(second))
+		turn := p.turn(l, c.msgs[0])
 		gap := float64(second) * max(turn, 1/p.depth(l), min(1/rate, p.growth(l)*age))
 		l.pauseUntil = p.now + Time(gap*(0.5+p.rng.Float64()))
+		if p.sparse(l) { // the draw loads all routes alike: none is asked for what this one had no room for
+			for _, x := range l.dest.lanes {
+				if x != l {
+					rest := p.turn(x, c.msgs[0]) * p.rng.Float64() / 2
+					x.pauseUntil = max(x.pauseUntil, p.now+Time(rest*float64(second)))
+				}
+			}
+		}
 		if e.Wait > 0 { // all who were told wake together: each comes at a moment of its own
 			l.pauseUntil = max(l.pauseUntil, p.now+e.Wait+Time(turn*float64(second)*p.rng.Float64()))
 		}
@@ -592,6 +600,12 @@
 	}
 }
 
+// turn is how many seconds it takes until each relay has sent one call at the limit, and at most so many that
+// a message has another chance.
+func (p *Policy) turn(l *lane, m *message) float64 {
+	return min(1/p.part(l), float64(m.class.Deadline)/2/float64(second))
+}
+
 // shutRun is how long refusals must go on, with no success between, until a destination is held to be shut
 // rather than at its limit: half a fall time, and where the limit is low as long as a few turns of this relay
 // take, since others may well have used up all the room until then.
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -149,6 +149,33 @@
 	}
 }
 
+// TestRefusedRouteRestsItsSiblings: where relays draw routes by their rates, a route that is over its limit
+// says that the others are near theirs. What it refused is not sent on to them at once.
+func TestRefusedRouteRestsItsSiblings(t *testing.T) {
+	for _, relays := range []int{2, 300} {
+		soon := 0
+		for seed := range 100 {
+			s := one()
+			s.Relays, s.Kinds = relays, []Kind{{Apart: true, Batch: 1}}
+			p, err := New(s, uint64(seed))
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := 1000 * second
+			acts := p.Step(now, []Event{{Kind: EvList, List: ListCached, Entries: []Entry{ready(1, 50), ready(2, 50)}},
+				{Kind: EvMessage, Message: 1, Left: 20 * second}}, nil)
+			for _, a := range acts {
+				if a.Kind == ActSend {
+					soon += count(p.Step(now+second/20, []Event{answer(a, Full)}, nil), ActSend)
+				}
+			}
+		}
+		if relays == 2 && soon < 90 || relays == 300 && soon > 10 {
+			t.Errorf("%d relays: %d of 100 refused messages went on to the other route at once", relays, soon)
+		}
+	}
+}
+
 // TestRoutesByTheirRates: where a relay of many sees too little of the routes to tell which one is busy, they
 // get its calls in proportion to their rates, however near or quick one of them is. Few relays, that see enough
 // of each, go by the soonest answer.
