Draw drops over the calls to all lanes where a relay sees next to nothing of each

A relay's own history says nothing, at about a call in ten seconds: says="dest 8: waiting 23, out 0, window 1, ... requests 1, accepts 0, limit 33.0" but over all routes it makes about six calls a second. At fault: chance, whose two accepts to the credit of each lane are never used up there, so the formula never bites. Now it is drawn for those lanes over the last calls to all of them as well, K = 1.25; the departure from one history per destination is named at strained.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -17,6 +17,10 @@
 	historyBins = 20
 	accepts     = 2.0 // K of the formula
 	prior       = 2.0 // accepts that a destination has to its credit: a few calls tell nothing
+	// The same over the last calls to all lanes that are sparse: K, and how many calls make up their history.
+	strainAccepts = 1.25
+	strainCalls   = 8
+
 	dropCap     = 0.9 // P1: some attempts always pass
 	slotShare   = 0.75
 	failShare   = 0.5  // the same while the destination fails
@@ -535,6 +539,13 @@
 			}
 		}
 	}
+	if p.sparse(l) {
+		if e.Outcome == Full {
+			p.strain += (1 - p.strain) / strainCalls
+		} else if e.Outcome == Delivered {
+			p.strain -= p.strain / strainCalls
+		}
+	}
 	switch e.Outcome {
 	case Delivered:
 		l.hist.accept(p.now)
@@ -812,6 +823,14 @@
 	return dropChance(max(0, req-float64(l.flying)), acc)
 }
 
+// strained draws by the formula over the last calls to all lanes of which this relay sees next to nothing. Its
+// history of one of them is empty most of the time, but what strains one, more than all take, lower limits,
+// many relays that come back at once, strains most. Refused calls use the limit up there, so K is smaller than
+// for a history of its own. Harm: a call to one that has room may wait for up to a turn.
+func (p *Policy) strained(l *lane) bool {
+	return p.sparse(l) && p.rng.Float64() < min(1-strainAccepts*(1-p.strain), dropCap)
+}
+
 // dropChance is the formula, with the cap that always lets some attempts pass.
 func dropChance(requests, accepted float64) float64 {
 	return min(max(0, (requests-accepts*(accepted+prior))/(requests+1)), dropCap)
@@ -1052,6 +1071,10 @@
 	} else if p.dropped(l) {
 		l.pauseUntil = max(l.pauseUntil, p.now+p.usual(d))
 		return
+	} else if p.strained(l) {
+		rest := p.turn(l, d.pick) * p.rng.Float64()
+		l.pauseUntil = max(l.pauseUntil, p.now+Time(rest*float64(second)))
+		return
 	}
 	c := &call{ep: ep, sent: p.now}
 	for _, m := range slices.Clone(d.queue) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -34,6 +34,7 @@
 	looks   int       // how often it was asked when a destination opens: the dear part of a turn
 	tight   []float64 // share of calls that found no connection, by kind of destination
 	lat     latency   // of all answers
+	strain  float64   // share of refusals in the last calls to lanes that are sparse
 	pressed Time      // since when messages wait and every slot is taken; 0 for not
 }
 
