--- a/decide/decide.go
+++ b/decide/decide.go
@@ -823,10 +823,10 @@
 	return dropChance(max(0, req-float64(l.flying)), acc)
 }
 
-// strained draws by the formula over the last calls to all lanes of which this relay sees next to nothing. Its
-// history of one of them is empty most of the time, but what strains one, more than all take, lower limits,
-// many relays that come back at once, strains most. Refused calls use the limit up there, so K is smaller than
-// for a history of its own. Harm: a call to one that has room may wait for up to a turn.
+// strained draws by the formula over the last calls to all lanes of which this relay sees next to nothing.
+// Its history of one of them is empty most of the time, but what strains one, more than all take, lower
+// limits, many relays that come back at once, strains most. Refused calls use the limit up there, so K is
+// smaller than for a history of its own. Harm: a call to one that has room may wait for up to a turn.
 func (p *Policy) strained(l *lane) bool {
 	return p.sparse(l) && p.rng.Float64() < min(1-strainAccepts*(1-p.strain), dropCap)
 }
