Stop calls that wait for a connection when a wait is told

At fault: returned in loop.go, which keeps a told wait in mind but leaves calls at callWaiting alone, as leave does not; and launch, which looks at gone only.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -43,7 +43,8 @@
 	num       decide.Endpoint
 	cell      int
 	zone      int
-	batch     int // messages that one call may carry
+	batch     int  // messages that one call may carry
+	apart     bool // a route: its waits bind it alone
 	hostPort  string
 	gone      bool // drained or removed: nothing new goes there
 	goneAt    decide.Time
@@ -81,6 +82,8 @@
 var (
 	errCancelled = errors.New("cancelled")
 	errDrained   = errors.New("endpoint drained")
+	errTold      = errors.New("told to wait")
+	errWithheld  = errors.New("withheld before its first byte")
 	errNoCall    = errors.New("endpoint gone, or no time left")
 	errUnlogged  = errors.New("attempt not logged")
 )
@@ -88,14 +91,14 @@
 // call is one call, with the messages that travel in it. It is out once stop
 // is set. Its run has nothing to do with what the loop owns.
 type call struct {
-	ep      *endpoint
-	msgs    []*message // the loop's
-	out     int        // of them, without an outcome; the loop's
-	num     uint64     // of a call that another process made
-	stage   atomic.Int32
-	leaving atomic.Bool // its endpoint drains
-	ctx     context.Context
-	stop    context.CancelCauseFunc
+	ep       *endpoint
+	msgs     []*message // the loop's
+	out      int        // of them, without an outcome; the loop's
+	num      uint64     // of a call that another process made
+	stage    atomic.Int32
+	withheld atomic.Bool // nothing of it may begin any more
+	ctx      context.Context
+	stop     context.CancelCauseFunc
 }
 
 // part is one message of a call as the call's run sees it.
@@ -127,11 +130,12 @@
 	err     error
 }
 
-// drained stops the call if its first byte is not written yet.
-func (c *call) drained() {
-	c.leaving.Store(true)
+// withhold stops the call if its first byte is not written yet: its endpoint
+// drains, or a wait was told meanwhile. One under way is not begun again.
+func (c *call) withhold(why error) {
+	c.withheld.Store(true)
 	if c.stage.CompareAndSwap(callWaiting, callStopped) {
-		c.stop(errDrained)
+		c.stop(why)
 	}
 }
 
@@ -250,15 +254,15 @@
 			if conn != nil {
 				conn.put()
 			}
-			return nil, decide.NotSent, cmp.Or(err, errDrained)
+			return nil, decide.NotSent, cmp.Or(err, errWithheld)
 		}
 		if err != nil {
 			return nil, decide.NoConnect, err
 		}
 		conn.left = answerMost
-		if !c.stage.CompareAndSwap(callWaiting, callSending) { // a drain came first
+		if !c.stage.CompareAndSwap(callWaiting, callSending) { // the word came first
 			conn.put()
-			return nil, decide.NotSent, errDrained
+			return nil, decide.NotSent, errWithheld
 		}
 		stop := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
 		err = conn.write(ctx, text)
@@ -268,12 +272,12 @@
 		}
 		stop()
 		conn.drop()
-		if left == 0 || ctx.Err() != nil || c.leaving.Load() {
+		if left == 0 || ctx.Err() != nil || c.withheld.Load() {
 			return nil, decide.NoConnect, err
 		}
 		c.stage.Store(callWaiting)
-		if c.leaving.Load() { // said between the two: drained saw a call under way
-			return nil, decide.NotSent, errDrained
+		if c.withheld.Load() { // said between the two: withhold saw a call under way
+			return nil, decide.NotSent, errWithheld
 		}
 	}
 }
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -226,7 +227,7 @@
 		return net.Dial("tcp", addr)
 	}
 	c := newTestCall()
-	go func() { <-dialing; c.drained(); close(release) }()
+	go func() { <-dialing; c.withhold(errDrained); close(release) }()
 	if o := c.made(t, h, &record{ID: "m"}, testLimit); o.what != decide.NotSent {
 		t.Errorf("got %+v", o)
 	}
@@ -242,11 +243,52 @@
 	// What is under way already is not stopped.
 	under := newTestCall()
 	under.stage.Store(callSending)
-	if under.drained(); under.ctx.Err() != nil {
+	if under.withhold(errDrained); under.ctx.Err() != nil {
 		t.Error("a call with bytes under way was stopped")
 	}
 }
 
+// Guards a told wait: it binds calls that were begun before it and still wait
+// for a connection, on the route that told it, or on all endpoints of a
+// destination whose endpoints are not routes apart, and on no other.
+func TestToldWaitStopsWaitingCalls(t *testing.T) {
+	for _, apart := range []bool{true, false} {
+		r := testRelay(t)
+		r.cfg.Policy.Kinds = []decide.Kind{{Apart: apart, Batch: 1}}
+		r.cfg.kinds = map[string]int{"k": 0}
+		l := &List{Complete: true}
+		for i, cell := range []int{1, 1, 2} {
+			l.Members = append(l.Members, Member{ID: fmt.Sprint("s-", i), HostPort: "127.0.0.1:1", Flavor: "k", Cell: cell, Phase: phaseUp, Size: 5})
+		}
+		r.list(l, decide.ListFull)
+		var calls []*call
+		for i := range l.Members {
+			c := newTestCall()
+			c.ep = r.endpoints[fmt.Sprint("s-", i)]
+			c.ep.calls[c] = true
+			calls = append(calls, c)
+		}
+		under := newTestCall()
+		under.ep = calls[0].ep
+		under.stage.Store(callSending)
+		under.ep.calls[under] = true
+		told := newTestCall()
+		told.ep = calls[0].ep
+		r.returned(told, nil, &outcome{what: decide.Full, wait: 700e3})
+		for i, stopped := range []bool{true, !apart, false} {
+			if got := calls[i].stage.Load() == callStopped; got != stopped || got != (calls[i].ctx.Err() != nil) {
+				t.Errorf("apart %v: call to endpoint %d stopped: %v, want %v", apart, i, got, stopped)
+			}
+			if got := calls[i].ep.waitUntil > r.now(); got != stopped {
+				t.Errorf("apart %v: endpoint %d waits: %v, want %v", apart, i, got, stopped)
+			}
+		}
+		if under.ctx.Err() != nil {
+			t.Errorf("apart %v: a call with bytes under way was stopped", apart)
+		}
+	}
+}
+
 // Guards against connections that died in silence: after a machine was away,
 // what is idle to it is given up; one slow call among others is no reason.
 func TestSuspect(t *testing.T) {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -536,9 +536,10 @@
 	}
 	entry := decide.Entry{Endpoint: ep.num, Zone: place(r.cfg.zones, x.Locality), Kind: place(r.cfg.kinds, x.Flavor),
 		Dest: x.Cell, State: decide.Ready, Rate: x.Size}
-	ep.zone, ep.batch = entry.Zone, 1
+	ep.zone, ep.batch, ep.apart = entry.Zone, 1, false
 	if entry.Kind >= 0 && entry.Kind < len(r.cfg.Policy.Kinds) {
-		ep.batch = max(r.cfg.Policy.Kinds[entry.Kind].Batch, 1)
+		kind := r.cfg.Policy.Kinds[entry.Kind]
+		ep.batch, ep.apart = max(kind.Batch, 1), kind.Apart
 	}
 	switch x.Phase {
 	case phaseUp:
@@ -560,7 +561,7 @@
 		ep.gone, ep.goneAt = true, r.now()
 	}
 	for c := range ep.calls {
-		c.drained()
+		c.withhold(errDrained)
 	}
 	if ep.home != nil {
 		ep.home.close()
@@ -761,7 +762,7 @@
 			return true
 		}
 		m.pending = nil
-		if ep := c.ep; ep == nil || ep.gone || ep.cell != m.rec.Dest || m.until <= now || m.over {
+		if ep := c.ep; ep == nil || ep.gone || ep.waitUntil > now || ep.cell != m.rec.Dest || m.until <= now || m.over {
 			r.notSent(m, c, errNoCall)
 			return true
 		}
@@ -812,10 +813,29 @@
 	c.stop(errCancelled)
 }
 
+// waits books a told wait, for the endpoint or for all of its destination's.
+// Calls that still wait for a connection there would begin before it is over:
+// after an outage one may take a second to come up. It binds under this id
+// also if the endpoint leaves and comes back.
+func (r *Relay) waits(told *endpoint, until decide.Time) {
+	bind := func(ep *endpoint) {
+		ep.waitUntil = max(ep.waitUntil, until)
+		for c := range ep.calls {
+			c.withhold(errTold)
+		}
+	}
+	bind(told)
+	for _, ep := range r.endpoints {
+		if ep != told && ep.cell == told.cell && !ep.apart && !told.apart {
+			bind(ep)
+		}
+	}
+}
+
 // returned books what became of a call, or of one of its messages alone.
 func (r *Relay) returned(c *call, only *message, o *outcome) {
-	if o.wait > 0 { // it binds under this id also if it leaves and comes back
-		c.ep.waitUntil = max(c.ep.waitUntil, r.now()+o.wait)
+	if o.wait > 0 {
+		r.waits(c.ep, r.now()+o.wait)
 	}
 	if c.ep.home != nil && c.ep.suspect(o, r.now()) {
 		c.ep.home.closeIdle()
