Take K as one where drops are drawn over the calls to all lanes

With K above one a relay goes on to ask for more than it is given. Only lanes of which a relay sees next to nothing are concerned.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,7 +18,7 @@
 	accepts     = 2.0 // K of the formula
 	prior       = 2.0 // accepts that a destination has to its credit: a few calls tell nothing
 	// The same over the last calls to all lanes that are sparse: K, and how many calls make up their history.
-	strainAccepts = 1.25
+	strainAccepts = 1.0
 	strainCalls   = 8
 
 	dropCap     = 0.9 // P1: some attempts always pass
@@ -825,8 +825,8 @@
 
 // strained draws by the formula over the last calls to all lanes of which this relay sees next to nothing.
 // Its history of one of them is empty most of the time, but what strains one, more than all take, lower
-// limits, many relays that come back at once, strains most. Refused calls use the limit up there, so K is
-// smaller than for a history of its own. Harm: a call to one that has room may wait for up to a turn.
+// limits, many relays that come back at once, strains most. A refused call may use up as much of a limit as
+// one that is taken, so K is one. Harm: a call to one that has room may wait for up to a turn.
 func (p *Policy) strained(l *lane) bool {
 	return p.sparse(l) && p.rng.Float64() < min(1-strainAccepts*(1-p.strain), dropCap)
 }
