--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -294,20 +294,26 @@
 func launchChild(t *testing.T, env map[string]string, socket *os.File) *child {
 	t.Helper()
 	c := &child{cmd: exec.Command(os.Args[0]), env: env}
-	c.cmd.Env = append(os.Environ(), childEnv+"=1")
-	for k, v := range env {
-		c.cmd.Env = append(c.cmd.Env, k+"="+v)
-	}
 	if socket != nil {
 		c.cmd.ExtraFiles = []*os.File{socket}
-		c.cmd.Env = append(c.cmd.Env, "ROUTER_SOCKET_FD=3")
+		c.cmd.Env = []string{"ROUTER_SOCKET_FD=3"}
+	}
+	c.launch(t)
+	return c
+}
+
+// launch starts what the child is to run.
+func (c *child) launch(t *testing.T) {
+	t.Helper()
+	c.cmd.Env = append(append(os.Environ(), c.cmd.Env...), childEnv+"=1")
+	for k, v := range c.env {
+		c.cmd.Env = append(c.cmd.Env, k+"="+v)
 	}
 	c.cmd.Stderr = testWriter{t}
 	if err := c.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.cmd.Process.Kill(); c.cmd.Wait() })
-	return c
 }
 
 type testWriter struct{ t *testing.T }
--- /dev/null
+++ b/internal/relay/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package relay
+
+const raceDetector = false
