Send notices beside each other, and again after 50 ms of silence

The operators' agents may be slower or lose connections. Now up to four tries are out, each of what is due; one without an answer after 50 ms is made again beside it on a new connection (at 0, 50, 150 ms), after a reset at 0, 10, 30, 70, 150; a notice that cannot be read is told apart from the others. A notice told more than 100 ms after its message's time is logged: notices: told late.

TestNoticesDoNotWaitForEachOther was seen to fail before (nothing told after 10 s); TestNoticeTriesInTime and TestUnreadableNoticeHoldsUpNone guard the rest.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -296,17 +297,25 @@
 	Message string `json:"message"`
 	Outcome string `json:"outcome"`
 	RetryMS int64  `json:"retry_in_ms,omitempty"`
+
+	until time.Time // the end of the message's time
 }
 
+// The rule gives a notice 300 ms past the message's time, and most are due at
+// that time. The agent is on this machine and answers at once: what has no
+// answer after noticeWait goes out again beside the try that waits, on a new
+// connection, since repeats are harmless and the one that is lost costs the
+// message.
 const (
 	noticeBatch = 64
-	noticeWait  = 200 * time.Millisecond // doubles with each failure in a row: a second try is still in time
-	noticePause = 50 * time.Millisecond  // grows with each failure in a row
+	noticeConns = 4                     // tries out at once
+	noticeWait  = 50 * time.Millisecond // from a try to the next; doubles
+	noticePause = 10 * time.Millisecond // from a failed try to the next; doubles
 	noticeMost  = 500 * time.Millisecond
-	noticeLong  = 2 * time.Second
+	noticeSlack = 100 * time.Millisecond // past a message's time, after which its notice is logged as late
 )
 
-// notices sends notices until each has been taken. Repeats are harmless.
+// notices sends notices until each has been taken.
 type notices struct {
 	addr   string
 	url    string           // at the address that is used now
@@ -314,13 +323,33 @@
 	log    *slog.Logger
 	client *http.Client
 	in     *mailbox[notice]
-	left   []notice // not confirmed yet
+	left   []*owedNotice // not confirmed yet, in the order in which they came
+	tries  []*noticeTry  // out, the oldest first
+	over   *mailbox[*noticeTry]
 	taken  func(id string)
 }
 
+// owedNotice is one that is not confirmed yet.
+type owedNotice struct {
+	notice
+	tries int
+	next  time.Time // when it is sent again
+	alone bool      // it was refused as unreadable, or another of its batch
+	told  bool
+}
+
+// noticeTry is one POST.
+type noticeTry struct {
+	batch  []*owedNotice
+	began  time.Time
+	cancel context.CancelFunc
+	status int
+	err    error
+}
+
 func newNotices(addr string, log *slog.Logger, taken func(string)) *notices {
-	return &notices{addr: addr, moves: newMailbox[string](), log: log, client: newPlainClient(2, discAnswer),
-		in: newMailbox[notice](), taken: taken}
+	return &notices{addr: addr, moves: newMailbox[string](), log: log, client: newPlainClient(noticeConns, discAnswer),
+		in: newMailbox[notice](), over: newMailbox[*noticeTry](), taken: taken}
 }
 
 // run sends to one address after another until ctx ends.
@@ -329,59 +358,153 @@
 // at sends to one address; what is not confirmed there stays for the next.
 func (n *notices) at(ctx context.Context, addr string) {
 	n.url = "http://" + addr + noticePath
-	defer n.client.CloseIdleConnections()
+	for _, x := range n.left {
+		x.tries, x.next = 0, time.Time{}
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	var fresh []notice
-	for pause, wait := noticePause, noticeWait; ctx.Err() == nil; {
+	var over []*noticeTry
+	for ctx.Err() == nil {
+		over = n.over.takeAll(over)
+		for _, t := range over {
+			n.book(t)
+		}
 		fresh = n.in.takeAll(fresh)
-		n.left = append(n.left, fresh...)
-		if len(n.left) == 0 {
-			select {
-			case <-ctx.Done():
-			case <-n.in.ready:
+		for _, x := range fresh {
+			n.left = append(n.left, &owedNotice{notice: x})
+		}
+		timer.Reset(n.send(ctx, time.Now()))
+		select {
+		case <-ctx.Done():
+		case <-n.in.ready:
+		case <-n.over.ready:
+		case <-timer.C:
+		}
+	}
+	for { // all tries end with ctx
+		over = n.over.takeAll(over)
+		for _, t := range over {
+			n.book(t)
+		}
+		if len(n.tries) == 0 {
+			break
+		}
+		<-n.over.ready
+	}
+	n.client.CloseIdleConnections()
+}
+
+// send makes the tries that are due and tells how long it is to the next. Where
+// as many are out as may be, the oldest makes room once it should have had its
+// answer; its notices are sent again like all that have none.
+func (n *notices) send(ctx context.Context, now time.Time) time.Duration {
+	for {
+		due, next := n.due(now)
+		if len(due) == 0 {
+			return next.Sub(now)
+		}
+		if len(n.tries) >= noticeConns {
+			if free := n.tries[0].began.Add(noticeWait); free.After(now) {
+				return free.Sub(now)
 			}
-			continue
+			n.tries[0].cancel()
+			n.tries = n.tries[1:]
+		}
+		again := false
+		for _, x := range due {
+			again = again || x.tries > 0
+			x.next = now.Add(backoff(noticeWait, x.tries))
+			x.tries++
 		}
-		batch := n.left[:min(len(n.left), noticeBatch)]
-		status, err := n.post(ctx, batch, wait)
-		if status == http.StatusBadRequest && len(batch) > 1 {
-			// One of them cannot be read; it must not hold up the others.
-			for _, x := range batch {
-				if status, err = n.post(ctx, []notice{x}, wait); err != nil && status != http.StatusBadRequest {
-					break
-				}
-				n.settle(x, err)
-				n.left = n.left[1:]
+		if again { // what was kept may have gone silent, all of it at once
+			n.client.CloseIdleConnections()
+		}
+		n.try(ctx, due, now)
+	}
+}
+
+// due lists what can go out in one try by now; where nothing can, next is when
+// something will.
+func (n *notices) due(now time.Time) (due []*owedNotice, next time.Time) {
+	next = now.Add(time.Hour)
+	for _, x := range n.left {
+		switch {
+		case x.next.After(now):
+			if x.next.Before(next) {
+				next = x.next
 			}
-		} else if err == nil || status == http.StatusBadRequest {
-			for _, x := range batch {
-				n.settle(x, err)
+		case x.alone && len(due) == 0:
+			return []*owedNotice{x}, next
+		case !x.alone:
+			if due = append(due, x); len(due) == noticeBatch {
+				return due, next
 			}
-			n.left = n.left[len(batch):]
 		}
-		if err == nil || status == http.StatusBadRequest {
-			pause, wait = noticePause, noticeWait
-			continue
+	}
+	return due, next
+}
+
+func backoff(first time.Duration, failed int) time.Duration {
+	return min(first<<min(failed, 16), noticeMost)
+}
+
+func (n *notices) try(ctx context.Context, batch []*owedNotice, now time.Time) {
+	ctx, cancel := context.WithCancel(ctx)
+	t := &noticeTry{batch: batch, began: now, cancel: cancel}
+	n.tries = append(n.tries, t)
+	go func() {
+		t.status, t.err = n.post(ctx, batch)
+		n.over.put(t)
+	}()
+}
+
+// book takes note of how a try ended.
+func (n *notices) book(t *noticeTry) {
+	t.cancel()
+	n.tries = slices.DeleteFunc(n.tries, func(x *noticeTry) bool { return x == t })
+	unread := t.status == http.StatusBadRequest
+	now, open := time.Now(), 0
+	for _, x := range t.batch {
+		switch {
+		case x.told:
+		case t.err == nil || unread && len(t.batch) == 1:
+			n.settle(x, t.err, now)
+		case unread: // one of them cannot be read; it must not hold up the others
+			x.alone, x.next = true, now
+		default:
+			open++
+			if at := now.Add(backoff(noticePause, x.tries-1)); at.Before(x.next) {
+				x.next = at
+			}
+		}
+	}
+	if open > 0 && !errors.Is(t.err, context.Canceled) {
+		n.log.Warn("notices: not taken, sent again", "count", open, "err", t.err)
+	}
+	n.left = slices.DeleteFunc(n.left, func(x *owedNotice) bool { return x.told })
+	for _, o := range n.tries { // nothing is left of it to be told
+		if !slices.ContainsFunc(o.batch, func(x *owedNotice) bool { return !x.told }) {
+			o.cancel()
 		}
-		n.log.Warn("notices: not taken", "count", len(n.left), "err", err)
-		sleep(ctx, pause)
-		pause, wait = min(2*pause, noticeMost), min(2*wait, noticeLong)
 	}
 }
 
-func (n *notices) settle(x notice, err error) {
+func (n *notices) settle(x *owedNotice, err error, now time.Time) {
+	x.told = true
 	if err != nil {
 		n.log.Error("notices: cannot be read", "message", x.Message, "err", err)
+	} else if late := now.Sub(x.until); late > noticeSlack {
+		n.log.Warn("notices: told late", "message", x.Message, "late_ms", late.Milliseconds(), "tries", x.tries)
 	}
 	n.taken(x.Message)
 }
 
-func (n *notices) post(ctx context.Context, batch []notice, wait time.Duration) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
+func (n *notices) post(ctx context.Context, batch []*owedNotice) (int, error) {
 	var body bytes.Buffer
 	enc := json.NewEncoder(&body) // one object a line
 	for _, x := range batch {
-		if err := enc.Encode(x); err != nil {
+		if err := enc.Encode(x.notice); err != nil {
 			return 0, fmt.Errorf("notices: %w", err)
 		}
 	}
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -188,8 +190,8 @@
 	done := make(chan struct{})
 	go func() { defer close(done); n.run(ctx) }()
 	defer func() { cancel(); <-done }()
-	n.in.put(notice{"a", endGivenUp, 0})
-	n.in.put(notice{"b", endHandedBack, 500})
+	n.in.put(notice{Message: "a", Outcome: endGivenUp})
+	n.in.put(notice{Message: "b", Outcome: endHandedBack, RetryMS: 500})
 	select {
 	case id := <-taken:
 		t.Fatalf("%s held to be told", id)
@@ -199,26 +201,46 @@
 	for range 2 {
 		<-taken
 	}
-	if b, _ := d.notice("b"); b != (notice{"b", endHandedBack, 500}) {
+	if b, _ := d.notice("b"); b != (notice{Message: "b", Outcome: endHandedBack, RetryMS: 500}) {
 		t.Errorf("told %+v", b)
 	}
 	d.set(func(d *fakeDiscovery) { d.answer = http.StatusBadRequest })
-	n.in.put(notice{"c", endGivenUp, 0})
+	n.in.put(notice{Message: "c", Outcome: endGivenUp})
 	if id := <-taken; id != "c" {
 		t.Errorf("%s in place of c", id)
 	}
 }
 
-// Guards the time of a notice: where the connection that was kept to the agent
-// has gone silent, a second try comes soon enough for the notice to be in time.
-func TestNoticeOnSilentConnection(t *testing.T) {
-	var tries atomic.Int32
+// Guards the time of a notice: one whose try is held up without end does not
+// hold up what comes later, and is itself sent again beside that try; one whose
+// connections are reset is sent again too.
+func TestNoticesDoNotWaitForEachOther(t *testing.T) {
+	later := make(chan struct{})
+	var resets atomic.Int32
+	var hangs atomic.Bool
 	addr := rawEndpoint(t, func(c net.Conn) {
 		in := bufio.NewReader(c)
-		for readCall(in) {
-			if tries.Add(1) != 2 {
-				io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+		for {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			text, err := io.ReadAll(req.Body)
+			if err != nil {
+				return
 			}
+			switch {
+			case strings.Contains(string(text), "silent"):
+				hangs.Store(true)
+				<-later
+			case strings.Contains(string(text), "later"):
+				close(later)
+			case resets.Add(1) <= 3:
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+				return
+			}
+			io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
 		}
 	})
 	taken := make(chan string, 4)
@@ -227,16 +249,78 @@
 	done := make(chan struct{})
 	go func() { defer close(done); n.run(ctx) }()
 	defer func() { cancel(); <-done }()
-	for _, id := range []string{"a", "b"} {
-		n.in.put(notice{id, endGivenUp, 0})
-		if got := <-taken; got != id {
-			t.Fatalf("%s in place of %s", got, id)
+	n.in.put(notice{Message: "reset", Outcome: endGivenUp})
+	n.in.put(notice{Message: "silent", Outcome: endGivenUp})
+	waitFor(t, "the try that hangs", hangs.Load)
+	n.in.put(notice{Message: "later", Outcome: endGivenUp})
+	got := map[string]bool{}
+	for range 3 {
+		select {
+		case id := <-taken:
+			got[id] = true
+		case <-time.After(10 * time.Second):
+			t.Fatalf("only %v told", got)
 		}
 	}
-	if got := tries.Load(); got != 3 {
-		t.Errorf("%d tries, want 3", got)
+}
+
+// Guards the number of tries that a notice has within its time: on silent
+// connections a third goes out early enough to be in time, on ones that are
+// reset a fifth.
+func TestNoticeTriesInTime(t *testing.T) {
+	silent, reset := time.Duration(0), time.Duration(0)
+	for failed := range 2 {
+		silent += backoff(noticeWait, failed)
+	}
+	for failed := range 4 {
+		reset += backoff(noticePause, failed)
+	}
+	if most := 200 * time.Millisecond; silent > most || reset > most {
+		t.Errorf("third try into silence after %v, fifth after resets after %v", silent, reset)
+	}
+}
+
+// Guards the others against a notice that the agent cannot read: the batch is
+// taken apart, and each is told by itself.
+func TestUnreadableNoticeHoldsUpNone(t *testing.T) {
+	addr := rawEndpoint(t, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			text, err := io.ReadAll(req.Body)
+			if err != nil {
+				return
+			}
+			if strings.Contains(string(text), "bad") {
+				io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+			} else {
+				io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+			}
+		}
+	})
+	taken := make(chan string, noticeBatch)
+	n := newNotices(addr, quietLog(), func(id string) { taken <- id })
+	n.in.put(notice{Message: "bad", Outcome: endGivenUp})
+	for i := range noticeBatch - 1 {
+		n.in.put(notice{Message: strconv.Itoa(i), Outcome: endGivenUp})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); n.run(ctx) }()
+	defer func() { cancel(); <-done }()
+	got := map[string]int{}
+	for range noticeBatch {
+		select {
+		case id := <-taken:
+			got[id]++
+		case <-time.After(10 * time.Second):
+			t.Fatalf("only %d told", len(got))
+		}
 	}
-	if noticeWait+noticePause >= 300*time.Millisecond {
-		t.Error("a second try would be late")
+	if len(got) != noticeBatch {
+		t.Errorf("%d of %d told, %v", len(got), noticeBatch, got)
 	}
 }
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -236,7 +236,7 @@
 		if rec.Notice != "" {
 			m.over = true
 			r.drop(m)
-			r.notices.in.put(notice{rec.ID, rec.Notice, rec.RetryMS})
+			r.notices.in.put(notice{rec.ID, rec.Notice, rec.RetryMS, time.UnixMicro(rec.Deadline)})
 			continue
 		}
 		if rec.Rules == nil { // written before logs kept them
@@ -673,7 +673,7 @@
 	if word == endGivenUp {
 		ms = 0
 	}
-	n := notice{m.rec.ID, word, ms}
+	n := notice{m.rec.ID, word, ms, time.UnixMicro(m.rec.Deadline)}
 	// The notice goes out whether or not it could be logged.
 	r.wal.submit(&record{Kind: recEnding, ID: m.rec.ID, Notice: word, RetryMS: ms}, func(error) { r.notices.in.put(n) })
 }
