--- a/cmd/benchlink/host_test.go
+++ b/cmd/benchlink/host_test.go
@@ -209,3 +209,26 @@
 		t.Fatalf("reply %x, error %v", out, err)
 	}
 }
+
+// TestLargestFleet: as many instances and endpoints as any deployment has, each instance with a list of all.
+func TestLargestFleet(t *testing.T) {
+	const most = 1024
+	tail, records := []byte(settingsText), [][]byte{table(3, len(settingsText), most)}
+	for i := range uint32(most) {
+		tail = append(tail, entry(i+1)...)
+		records = append(records, up(uint16(i), uint64(i), settingsText, 0), sync(uint16(i), 3), call(uint16(i), 10+i))
+	}
+	out, err := run(t, batch(1e6, tail, records...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := sends(t, out)
+	if len(got) != most {
+		t.Fatalf("%d instances sent, want %d", len(got), most)
+	}
+	for i, s := range got {
+		if s[0] != uint32(i) || s[1] != uint32(10+i) || s[2] < 1 || s[2] > most {
+			t.Fatalf("send %d: %v", i, s)
+		}
+	}
+}
--- a/internal/relay/size_test.go
+++ b/internal/relay/size_test.go
@@ -75,6 +75,12 @@
 	cl = dialClient(t, env["ROUTER_LISTEN"])
 	serve(ep, "again", 5)
 	c.checkMemory(t)
+
+	heir := startSmallChild(t, env)
+	c.ended(t) // it has handed all over
+	cl = dialClient(t, env["ROUTER_LISTEN"])
+	serve(ep, "inherited", 6)
+	heir.checkMemory(t)
 }
 
 // total is the number of all calls.
