Log each message taken, delivered and told where ROUTER_LOG=debug asks for it

To follow a loss from the first byte to the last the log said too little: of a message that the relay holds to be delivered it had no line at all, nor of when a notice was confirmed. They cost a line for each message, so they are off unless asked for; attempts that failed now name the message that led their call.

--- a/cmd/troutusher/main.go
+++ b/cmd/troutusher/main.go
@@ -25,7 +25,11 @@
 	// Caught from the start on: SIGHUP would end the process.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	level := slog.LevelInfo
+	if os.Getenv("ROUTER_LOG") == "debug" { // a line for each message that is taken, delivered and told
+		level = slog.LevelDebug
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	cfg, err := relay.LoadConfig(os.Getenv)
 	if err != nil {
 		log.Error("cannot start", "err", err)
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -492,6 +492,7 @@
 
 func (n *notices) settle(x *owedNotice, err error, now time.Time) {
 	x.told = true
+	n.log.Debug("told", "message", x.Message, "outcome", x.Outcome, "left_ms", x.until.Sub(now).Milliseconds(), "tries", x.tries)
 	if err != nil {
 		n.log.Error("notices: cannot be read", "message", x.Message, "err", err)
 	} else if late := now.Sub(x.until); late > noticeSlack {
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -139,6 +139,14 @@
 	}
 }
 
+// lead is the message that stands first in the call, for the log.
+func (c *call) lead() string {
+	if len(c.msgs) == 0 {
+		return ""
+	}
+	return c.msgs[0].rec.ID
+}
+
 // newCallRequest makes the request of a call. Its GetBody stays nil.
 func newCallRequest(hostPort string, parts []part, timeout time.Duration) (*http.Request, error) {
 	path, body := callPath, parts[0].rec.body
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -445,6 +445,7 @@
 		return
 	}
 	m.heard = true
+	r.log.Debug("taken", "message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest, "left_ms", r.leftMS(m))
 	if c := m.pending; c != nil {
 		r.launch(c)
 	}
@@ -660,7 +661,7 @@
 	}
 	r.drop(m)
 	r.log.Info("ended", "message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest, "outcome", word, "tries", m.tries,
-		"left_ms", (r.fromWall(m.rec.Deadline)-r.now())/1000)
+		"left_ms", r.leftMS(m))
 	if !m.heard {
 		m.ending = &record{Notice: word, RetryMS: ms}
 		return
@@ -668,6 +669,9 @@
 	r.end(m, word, ms)
 }
 
+// leftMS is what is left of a message's time.
+func (r *Relay) leftMS(m *message) int64 { return (r.fromWall(m.rec.Deadline) - r.now()) / 1000 }
+
 // end logs how a message ended and has the platform told.
 func (r *Relay) end(m *message, word string, ms int64) {
 	if word == endGivenUp {
@@ -875,9 +879,12 @@
 		return
 	}
 	r.events = append(r.events, e)
-	if o.what != decide.Delivered {
+	if o.what == decide.Delivered {
+		r.log.Debug("delivered", "message", m.rec.ID, "dest", m.rec.Dest, "class", m.rec.Class, "endpoint", e.Endpoint,
+			"attempt", e.Attempt, "together", len(c.msgs), "lead", c.lead(), "took_ms", o.took/1000, "left_ms", r.leftMS(m))
+	} else {
 		r.log.Info("attempt", "message", m.rec.ID, "dest", m.rec.Dest, "class", m.rec.Class, "endpoint", e.Endpoint,
-			"attempt", e.Attempt, "together", len(c.msgs), "outcome", int(o.what), "status", o.status, "took_ms", o.took/1000,
+			"attempt", e.Attempt, "together", len(c.msgs), "lead", c.lead(), "outcome", int(o.what), "status", o.status, "took_ms", o.took/1000,
 			"conn_reused", o.reused, "conn_idle_ms", o.idle.Milliseconds(),
 			"err", o.err)
 	}
