Remember ids that are over: one handed in again is not sent again

A peer repeats a request that it has seen. admit knew only ids that are held: drop forgets an id as soon as its message is over, so the copy was taken on and a fee-payment went out a second time, kept from running by the endpoint alone; the platform was then told that a delivered message was given up. Ids are now kept with what became of them for one to two times the longest deadline, and answered with that: +OK, -BUSY, or an error line. An id that another relay has cannot be known here.

TestSameIDAgain was seen to fail before (went out 2 times).

--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -85,6 +85,7 @@
 	lastCall  uint64
 	msgs      map[uint32]*message
 	ids       map[string]*message
+	past      past
 	waiting   map[*request]*message // whose clients have no answer yet
 	endpoints map[string]*endpoint
 	byNum     map[decide.Endpoint]*endpoint
@@ -406,6 +407,9 @@
 	case old != nil:
 		q.answer(fault(errors.New("id is being handed in already")))
 		return
+	case r.past.reply(q.rec.ID) != "": // it was ours: sent once more it could run again
+		q.answer(r.past.reply(q.rec.ID))
+		return
 	case len(r.named) > 0 && !r.named[q.rec.Dest]:
 		// It would be held for nothing, and the policy keeps each destination
 		// for good. One whose endpoints are only gone for now has been named.
@@ -489,6 +493,34 @@
 	}
 }
 
+// past holds the answers to messages that were taken on and are over, should
+// one be handed in once more under the same id: by a client whose connection
+// broke, or by a peer that repeats what it has seen. None is forgotten before a
+// turn has passed since its end.
+type past struct {
+	fresh, old map[string]string
+	turnedAt   decide.Time
+}
+
+func (p *past) add(id, reply string, now, turn decide.Time) {
+	if p.fresh == nil || now-p.turnedAt >= turn {
+		p.fresh, p.old, p.turnedAt = map[string]string{}, p.fresh, now
+	}
+	p.fresh[id] = reply
+}
+
+// reply is empty where the id is not known.
+func (p *past) reply(id string) string { return cmp.Or(p.fresh[id], p.old[id]) }
+
+// remember keeps how a message ended, for as long as any message may live.
+func (r *Relay) remember(m *message, reply string) {
+	turn := decide.Time(0)
+	for _, c := range r.cfg.Policy.Classes {
+		turn = max(turn, c.Deadline)
+	}
+	r.past.add(m.rec.ID, reply, r.now(), turn)
+}
+
 // list books news of the list.
 func (r *Relay) list(l *List, kind decide.ListNews) {
 	e := decide.Event{Kind: decide.EvList, List: kind}
@@ -660,6 +692,11 @@
 		return
 	}
 	r.drop(m)
+	if word == endHandedBack {
+		r.remember(m, busy(ms))
+	} else {
+		r.remember(m, fault(errors.New("given up")))
+	}
 	r.log.Info("ended", "message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest, "outcome", word, "tries", m.tries,
 		"left_ms", r.leftMS(m))
 	if !m.heard {
@@ -897,6 +934,7 @@
 	if o.settled && !m.over {
 		m.over = true
 		r.drop(m)
+		r.remember(m, replyOK)
 		return
 	}
 	if m.over {
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -284,7 +285,26 @@
 	}
 }
 
-// Guards against handing in twice: an id that is held is not taken on again.
+// Guards what the answer is to an id that is over, and that it is kept as long as
+// any message may live, and no longer than twice that.
+func TestPastIDs(t *testing.T) {
+	var p past
+	p.add("a", replyOK, 100, 10)
+	p.add("b", busy(7), 109, 10)
+	p.add("c", fault(errors.New("given up")), 110, 10)
+	for id, want := range map[string]string{"a": "+OK\r\n", "b": "-BUSY 7\r\n", "c": "-ERR given up\r\n", "d": ""} {
+		if got := p.reply(id); got != want {
+			t.Errorf("%s: %q, want %q", id, got, want)
+		}
+	}
+	p.add("d", replyOK, 120, 10)
+	if p.reply("b") != "" || p.reply("c") == "" || len(p.fresh)+len(p.old) != 2 {
+		t.Errorf("kept: %v and %v", p.fresh, p.old)
+	}
+}
+
+// Guards against handing in twice: an id that is held, or was until it was over,
+// is not taken on again.
 func TestSameIDAgain(t *testing.T) {
 	release := make(chan struct{})
 	ep := newFakeEndpoint(t, func(_ http.ResponseWriter, r *http.Request, _ int) {
@@ -307,6 +327,13 @@
 		t.Fatal(s)
 	}
 	waitFor(t, "the next", func() bool { return ep.count("other") == 1 })
+	if s := cl.put("m", fields("once", 20000, 1), nil); s != "+OK" { // delivered by now
+		t.Error(s)
+	}
+	if s := cl.put("last", fields("once", 20000, 1), nil); s != "+OK" {
+		t.Fatal(s)
+	}
+	waitFor(t, "the one behind it", func() bool { return ep.count("last") == 1 })
 	if n := ep.count("m"); n != 1 {
 		t.Errorf("went out %d times", n)
 	}
