Take off a message's time what its request may have been under way

Their logs show why: the module ends what it still holds three ticks, 3 ms, before the time is up, by the relay's clock, which begins when the request has been read and not when its client sent it; the notice takes 2 to 17 ms more.

parsePut now takes off 50 ms, what the protocol allows to sockets, or a twentieth of a shorter time; the whole slack of the rule is left for the end to be told in. Ruled out: processor time (the loop is 1 to 4 ms behind), notices sent again (none). A final answer is given earlier by this, never later.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -34,6 +34,11 @@
 	stallWait    = 300 * time.Millisecond  // between two bytes of a command, where others need the place
 	idleWait     = 4 * time.Second         // without a request
 	deadlineMost = 2                       // times what its class has: no message has more left
+	// A message's time counts from when its client sent it, and nobody tells how
+	// long ago that was. The protocol allows 50 ms to what goes by sockets; taken
+	// off here, the whole slack of the rule is left for the end to be told in.
+	underWay     = 50 * time.Millisecond
+	underWayPart = 20 // but no more than one part in so many of what is left
 	unreadWait   = 20 * time.Millisecond
 	lingerWait   = 200 * time.Millisecond
 	lingerMost   = 256 << 10
@@ -220,7 +225,7 @@
 		return nil, fmt.Errorf("d: %v ms, and messages of class %s have %v at most", ms, q.rec.Class, most)
 	}
 	q.left = time.Duration(ms * float64(time.Millisecond))
-	q.rec.Deadline = now.Add(q.left).UnixMicro()
+	q.rec.Deadline = now.Add(q.left - min(underWay, q.left/underWayPart)).UnixMicro()
 	dest, err := strconv.ParseUint(have["dest"], 10, 16)
 	if err != nil {
 		return nil, fmt.Errorf("dest: %.32q is no destination", have["dest"])
