Hold a destination to be out after two failures where a relay sends little

Followed in the logs of all 350 relays: dest 8 fell silent at 7.5 s. By 11.95 s 339 relays had seen 1 to 6 calls fail there, 2 or 3 mostly (520 not connected, 417 silent), but only 40 said

msg=policy says="dest 8: seen failing, trial calls"

and of the calls that failed in the 1.8 s after its return 572 came from the other 310 relays, 32 from those 40. failed() waited for three in a row. At 230 to 290 calls a second a relay's part is 1.6 in the 2 s in which a cold destination falls, so three take 4 s and more; thin() let one do, but only under 0.5. Where a relay sees under a tenth of the calls and its part is under three in that time, two do now. Ruled out: the budget for trial calls (kept by the 40), a restart, a late list.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,10 +33,12 @@
 	shareMost   = 1.4  // but no more than this times an even part: the room of many relays adds up
 	thinMost    = 1.6  // the same where the even part is so small that chance alone passes it
 	thinPart    = 0.5  // calls of an even part in a fall time under which a relay sees too little
+	fewPart     = 3.0  // the same under which three failures in a row take longer than that: two have to do
 	sampleLeast = 0.1  // part of all calls that a relay must see to learn from its own how others fare
 	burstSpread = 1.65 // deviations of its own traffic that a relay may send at once
 	scoreKeep   = 0.7  // weight of the past in an endpoint's failure score
 	scoreSick   = 0.6  // most calls fail: three in a row from a clean start pass it
+	scoreFew    = 0.5  // two in a row do
 	restGrowth  = 3.0  // a rest after a failure, to the time since the first of the run, with many relays
 	fullRunSick = 2    // refusals in a row, far enough apart, with no success between: shut, not busy
 	shutTurns   = 2.0  // turns of this relay at the limit that such a run must outlast
@@ -649,7 +651,7 @@
 	if ep.goodAt == 0 || ep.score >= scoreSick { // where most calls pass, a failure does not undo the ramp
 		ep.badAt, ep.goodAt, ep.mute = p.now, 0, mute
 	}
-	if ep.sick || ep.score < scoreSick && !p.thin(ep.lane) {
+	if ep.sick || ep.score < p.verdict(ep.lane) {
 		ep.restUntil = p.now + Time(p.growth(ep.lane)*float64(p.now-ep.firstBad)) // until the verdict is in
 		return
 	}
@@ -767,10 +769,19 @@
 // part is this relay's even part of that.
 func (p *Policy) part(l *lane) float64 { return p.capacity(l) / float64(p.set.Relays) }
 
-// thin: this relay's part is so small that a run of failures would outlast the time in which a cold
-// destination falls. Its first failure has to be the verdict, or all relays come at it as to a sound one.
-func (p *Policy) thin(l *lane) bool {
-	return p.part(l)*float64(p.set.FallTime)/float64(second) < thinPart
+// verdict is the failure score at which an endpoint is held to be out. Where this relay's part is so small
+// that a run of failures would outlast the time in which a cold destination falls, the first has to do, or,
+// where it sees little of what all send, two in a row: by the third all relays would have come back to it as
+// to a sound one. Harm: one that lost two answers in a row is asked less for the time of a ramp.
+func (p *Policy) verdict(l *lane) float64 {
+	calls := p.part(l) * float64(p.set.FallTime) / float64(second)
+	switch {
+	case calls < thinPart:
+		return 0
+	case calls < fewPart && float64(p.set.Relays)*sampleLeast > 1:
+		return scoreFew
+	}
+	return scoreSick
 }
 
 // sparse: this relay sees next to nothing of what a lane does with the calls of all: few of them are its own,
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -265,3 +265,28 @@
 		}
 	}
 }
+
+// TestFewCallsTellAnOutage: how many failures in a row hold an endpoint to be out goes by what this relay
+// may send there in the time in which a cold one falls. A run that takes longer comes too late: by then all
+// relays would have come back to it as to a sound one.
+func TestFewCallsTellAnOutage(t *testing.T) {
+	for _, c := range []struct {
+		relays   int
+		rate     float64
+		failures int
+	}{{3, 290, 3}, {3, 4, 3}, {60, 290, 3}, {350, 290, 2}, {3000, 290, 1}} {
+		s := one()
+		s.Relays, s.FallTime = c.relays, 2*second
+		r := newRig(t, s, ready(1, c.rate))
+		ep := r.p.eps[1]
+		for n := 1; n <= 3; n++ {
+			r.now += second
+			r.p.now = r.now
+			r.p.observe(&call{ep: ep, sent: r.now - second, msgs: []*message{{class: &r.p.set.Classes[0]}}},
+				&Event{Kind: EvOutcome, Outcome: NoConnect})
+			if ep.sick != (n >= c.failures) {
+				t.Errorf("%d relays, %v calls a second: held to be out is %v after %d failures", c.relays, c.rate, ep.sick, n)
+			}
+		}
+	}
+}
--- a/decide/guards_test.go
+++ b/decide/guards_test.go
@@ -31,7 +31,7 @@
 		{"attempts", "m.most > 0 && m.tries >= m.most", "false", "TestRules"},
 		{"refusal", "return m.class.Repeat == Keyed && !m.class.ZoneOnly", "return m.class.Repeat == Keyed", "TestRules"},
 		{"budget", "return ep.budget.level(p.now, rate, max(depth, ep.need)) >= ep.need", "return ep.budget.level(p.now, rate, max(depth, ep.need)) >= -99", "TestFailBackBudget"},
-		{"outage", "ep.sick || ep.score < scoreSick", "true", "TestPartialSuccessKeepsTheBudget"},
+		{"outage", "ep.sick || ep.score < p.verdict(ep.lane)", "true", "TestPartialSuccessKeepsTheBudget"},
 		{"overdue", "func() { p.overdue(c) })", "func() {})", "TestSilentCallLeavesTheWindow"},
 		{"calling off", "p.review(c)\n\t}\n\tp.calls++", "}\n\tp.calls++", "TestReclaim"},
 	} {
