--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -211,14 +212,11 @@
 	}
 }
 
-// Guards the time of a notice: one whose try is held up without end does not
-// hold up what comes later, and is itself sent again beside that try; one whose
-// connections are reset is sent again too.
-func TestNoticesDoNotWaitForEachOther(t *testing.T) {
-	later := make(chan struct{})
-	var resets atomic.Int32
-	var hangs atomic.Bool
-	addr := rawEndpoint(t, func(c net.Conn) {
+// noticeAgent is an agent of which a test says what it does with each POST: it
+// gives the answer, or none to break the connection.
+func noticeAgent(t *testing.T, answer func(text string) string) string {
+	t.Helper()
+	return rawEndpoint(t, func(c net.Conn) {
 		in := bufio.NewReader(c)
 		for {
 			req, err := http.ReadRequest(in)
@@ -229,39 +227,72 @@
 			if err != nil {
 				return
 			}
-			switch {
-			case strings.Contains(string(text), "silent"):
-				hangs.Store(true)
-				<-later
-			case strings.Contains(string(text), "later"):
-				close(later)
-			case resets.Add(1) <= 3:
+			said := answer(string(text))
+			if said == "" {
 				c.(*net.TCPConn).SetLinger(0)
-				c.Close()
 				return
 			}
-			io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+			io.WriteString(c, said)
 		}
 	})
-	taken := make(chan string, 4)
+}
+
+const (
+	noticeTaken  = "HTTP/1.1 204 No Content\r\n\r\n"
+	noticeUnread = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"
+)
+
+// tellAll runs notices until so many are told, and returns how often each was.
+func tellAll(t *testing.T, addr string, count int, put func(*notices)) map[string]int {
+	t.Helper()
+	taken := make(chan string, noticeBatch)
 	n := newNotices(addr, quietLog(), func(id string) { taken <- id })
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); n.run(ctx) }()
 	defer func() { cancel(); <-done }()
-	n.in.put(notice{Message: "reset", Outcome: endGivenUp})
-	n.in.put(notice{Message: "silent", Outcome: endGivenUp})
-	waitFor(t, "the try that hangs", hangs.Load)
-	n.in.put(notice{Message: "later", Outcome: endGivenUp})
-	got := map[string]bool{}
-	for range 3 {
+	put(n)
+	got := map[string]int{}
+	for range count {
 		select {
 		case id := <-taken:
-			got[id] = true
+			got[id]++
 		case <-time.After(10 * time.Second):
 			t.Fatalf("only %v told", got)
 		}
 	}
+	return got
+}
+
+// Guards the time of a notice: one whose try is held up without end does not
+// hold up what comes later, and is itself sent again beside that try; one whose
+// connections are reset is sent again too.
+func TestNoticesDoNotWaitForEachOther(t *testing.T) {
+	later := make(chan struct{})
+	told := sync.OnceFunc(func() { close(later) })
+	var resets atomic.Int32
+	var hangs atomic.Bool
+	addr := noticeAgent(t, func(text string) string {
+		switch {
+		case strings.Contains(text, "silent"):
+			hangs.Store(true)
+			<-later
+		case strings.Contains(text, "later"):
+			told()
+		case resets.Add(1) <= 3:
+			return ""
+		}
+		return noticeTaken
+	})
+	got := tellAll(t, addr, 3, func(n *notices) {
+		n.in.put(notice{Message: "reset", Outcome: endGivenUp})
+		n.in.put(notice{Message: "silent", Outcome: endGivenUp})
+		waitFor(t, "the try that hangs", hangs.Load)
+		n.in.put(notice{Message: "later", Outcome: endGivenUp})
+	})
+	if len(got) != 3 {
+		t.Errorf("told %v", got)
+	}
 }
 
 // Guards the number of tries that a notice has within its time: on silent
@@ -283,43 +314,18 @@
 // Guards the others against a notice that the agent cannot read: the batch is
 // taken apart, and each is told by itself.
 func TestUnreadableNoticeHoldsUpNone(t *testing.T) {
-	addr := rawEndpoint(t, func(c net.Conn) {
-		in := bufio.NewReader(c)
-		for {
-			req, err := http.ReadRequest(in)
-			if err != nil {
-				return
-			}
-			text, err := io.ReadAll(req.Body)
-			if err != nil {
-				return
-			}
-			if strings.Contains(string(text), "bad") {
-				io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
-			} else {
-				io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
-			}
+	addr := noticeAgent(t, func(text string) string {
+		if strings.Contains(text, "bad") {
+			return noticeUnread
 		}
+		return noticeTaken
 	})
-	taken := make(chan string, noticeBatch)
-	n := newNotices(addr, quietLog(), func(id string) { taken <- id })
-	n.in.put(notice{Message: "bad", Outcome: endGivenUp})
-	for i := range noticeBatch - 1 {
-		n.in.put(notice{Message: strconv.Itoa(i), Outcome: endGivenUp})
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); n.run(ctx) }()
-	defer func() { cancel(); <-done }()
-	got := map[string]int{}
-	for range noticeBatch {
-		select {
-		case id := <-taken:
-			got[id]++
-		case <-time.After(10 * time.Second):
-			t.Fatalf("only %d told", len(got))
+	got := tellAll(t, addr, noticeBatch, func(n *notices) {
+		n.in.put(notice{Message: "bad", Outcome: endGivenUp})
+		for i := range noticeBatch - 1 {
+			n.in.put(notice{Message: strconv.Itoa(i), Outcome: endGivenUp})
 		}
-	}
+	})
 	if len(got) != noticeBatch {
 		t.Errorf("%d of %d told, %v", len(got), noticeBatch, got)
 	}
