Leave out of a call what is over before it is written

The text of a call was made before its connection (call.run), so what ended meanwhile went with the rest. A call with one message was safe: its context ends, and the last byte stays. Ruled out: a second attempt (tries=1), and a resend by another relay.

The text is made when the connection is there, of what still goes with the call; right before the last byte it is asked once more, and where a message was taken out since, that connection is given up with the byte unwritten. A message that ends or times out before then has never run: NotSent, and no longer TimedOut. An end takes its message out of the call before anybody is told of it.

--- /dev/null
+++ b/internal/relay/crossing_test.go
@@ -0,0 +1,162 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"troutusher/decide"
+)
+
+// Tests of moments at which two things cross. Each is forced by the other side or by
+// a hook at that very moment, and none waits for a time to pass.
+
+// hookedConn acts right after something was written to it.
+type hookedConn struct {
+	*net.TCPConn
+	wrote func()
+}
+
+func (c *hookedConn) Write(b []byte) (int, error) {
+	n, err := c.TCPConn.Write(b)
+	c.wrote()
+	return n, err
+}
+
+// batchTaker answers calls with several messages, or one, and hands on their ids.
+func batchTaker(t *testing.T) (addr string, ids chan []string) {
+	ids = make(chan []string, 8)
+	return rawEndpoint(t, func(c net.Conn) {
+		for in := bufio.NewReader(c); ; {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(req.Body)
+			if err != nil {
+				return
+			}
+			if req.URL.Path == callPath {
+				ids <- []string{req.Header.Get("X-Request-ID")}
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				continue
+			}
+			got, _ := batchOf(t, body)
+			ids <- got
+			text := "["
+			for i, id := range got {
+				if i > 0 {
+					text += ","
+				}
+				text += `{"id":"` + id + `","state":"accepted"}`
+			}
+			text += "]"
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(len(text))+"\r\n\r\n"+text)
+		}
+	}), ids
+}
+
+// A connection that comes up when the time of one of a call's messages is over carries
+// the others alone: that one may have had its final answer by then, or another call.
+func TestLateConnectionLeavesOutWhatIsOver(t *testing.T) {
+	addr, ids := batchTaker(t)
+	h := testPool(t).home(addr)
+	release := make(chan struct{})
+	h.dial = func(_ context.Context, addr string) (net.Conn, error) {
+		<-release
+		return net.Dial("tcp", addr)
+	}
+	short, off := &message{num: 1}, &message{num: 2}
+	parts := []part{{m: &message{num: 3}, rec: &record{ID: "long"}, limit: testLimit},
+		{m: off, rec: &record{ID: "off"}, limit: testLimit}, {m: short, rec: &record{ID: "short"}, limit: time.Millisecond}}
+	c := newTestCall()
+	told, done := make(chan outcome, 4), make(chan struct{})
+	go func() {
+		defer close(done)
+		c.run(h, parts, nil, func(m *message, o outcome) {
+			if m == short {
+				if o.what != decide.NotSent {
+					t.Errorf("the short one, which never left: %+v", o)
+				}
+				if !c.takeOut(off) { // as the policy does that calls it off
+					t.Error("not in time, before there is a connection")
+				}
+				close(release)
+				return
+			}
+			told <- o
+		})
+	}()
+	<-done
+	if o := <-told; o.what != decide.Delivered || o.status != http.StatusOK {
+		t.Errorf("the call: %+v", o)
+	}
+	if got := <-ids; !slices.Equal(got, []string{"long"}) {
+		t.Errorf("in the call: %v", got)
+	}
+	if len(told)+len(ids) > 0 {
+		t.Error("more than one call, or outcome")
+	}
+	if c.takeOut(parts[0].m) {
+		t.Error("taken out of a call that is written")
+	}
+}
+
+// The same between the first bytes of a call and its last one: what was written so
+// far is given up, and the rest goes by another connection.
+func TestOverBetweenFirstAndLastByte(t *testing.T) {
+	addr, ids := batchTaker(t)
+	h := testPool(t).home(addr)
+	c := newTestCall()
+	over := &message{num: 1}
+	dials := 0
+	h.dial = func(_ context.Context, addr string) (net.Conn, error) {
+		conn, err := net.Dial("tcp", addr)
+		if dials++; err != nil || dials > 1 {
+			return conn, err
+		}
+		return &hookedConn{conn.(*net.TCPConn), func() {
+			if !c.takeOut(over) {
+				t.Error("the last byte is not written yet")
+			}
+		}}, nil
+	}
+	parts := []part{{m: over, rec: &record{ID: "over"}, limit: testLimit}, {m: &message{num: 2}, rec: &record{ID: "a"}, limit: testLimit},
+		{m: &message{num: 3}, rec: &record{ID: "b"}, limit: testLimit}}
+	told := make(chan outcome, 1)
+	c.run(h, parts, nil, func(_ *message, o outcome) { told <- o })
+	if o := <-told; o.ends["a"].what != decide.Delivered || o.ends["b"].what != decide.Delivered || len(o.ends) != 2 {
+		t.Errorf("the call: %+v", o)
+	}
+	if got := <-ids; !slices.Equal(got, []string{"a", "b"}) || len(ids) > 0 {
+		t.Errorf("in the call: %v", got)
+	}
+	// Where it is the only one nothing goes out at all.
+	c, dials = newTestCall(), 0
+	told = make(chan outcome, 1)
+	c.run(h, parts[:1], nil, func(_ *message, o outcome) { told <- o })
+	if o := <-told; o.what != decide.NotSent || len(ids) > 0 {
+		t.Errorf("alone: %+v", o)
+	}
+}
+
+// A message that ends while its call waits for a connection is out of the call before
+// anybody hears of the end.
+func TestEndTakesOutOfTheCall(t *testing.T) {
+	r := testRelay(t)
+	r.wal = &wal{in: newMailbox[walOp]()}
+	m := r.newMessage(&record{ID: "m", Class: "plain"})
+	m.heard = true
+	m.call = newTestCall()
+	m.call.msgs = []*message{m}
+	r.ended(&decide.Action{Kind: decide.ActRefuse, Message: m.num}, endHandedBack)
+	if m.call.commit([]part{{m: m}}) {
+		t.Error("its call may still be written")
+	}
+}
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -86,6 +87,7 @@
 	errWithheld  = errors.New("withheld before its first byte")
 	errNoCall    = errors.New("endpoint gone, or no time left")
 	errUnlogged  = errors.New("attempt not logged")
+	errTakenOut  = errors.New("its time was up before the call was written")
 )
 
 // call is one call, with the messages that travel in it. It is out once stop
@@ -99,6 +101,43 @@
 	withheld atomic.Bool // nothing of it may begin any more
 	ctx      context.Context
 	stop     context.CancelCauseFunc
+
+	mu      sync.Mutex
+	taken   map[*message]bool // out of it again: they must not go with what is still to be written
+	written bool              // its last byte is written, or is just being
+}
+
+// takeOut takes a message out of a call whose last byte is not written. It reports
+// whether that was in time: the message has then never run by this call and never
+// will. A connection may come up long after a message's time, with others waiting
+// for it still.
+func (c *call) takeOut(m *message) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.written {
+		return false
+	}
+	if c.taken == nil {
+		c.taken = map[*message]bool{}
+	}
+	c.taken[m] = true
+	return true
+}
+
+// still lists the parts that go with the call.
+func (c *call) still(parts []part) []part {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(parts), func(p part) bool { return c.taken[p.m] })
+}
+
+// commit is said right before the last byte of a call with these parts. It reports
+// false where one of them was taken out since: then that byte must not be written.
+func (c *call) commit(parts []part) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.written = !slices.ContainsFunc(parts, func(p part) bool { return c.taken[p.m] })
+	return c.written
 }
 
 // part is one message of a call as the call's run sees it.
@@ -205,7 +244,11 @@
 	for _, p := range parts {
 		if p.limit < limit {
 			t := time.AfterFunc(p.limit, func() {
-				tell(p.m, outcome{what: decide.TimedOut, err: context.DeadlineExceeded, took: time.Since(began).Microseconds()})
+				o := outcome{what: decide.TimedOut, err: context.DeadlineExceeded, took: time.Since(began).Microseconds()}
+				if c.takeOut(p.m) {
+					o.what, o.err = decide.NotSent, errTakenOut
+				}
+				tell(p.m, o)
 			})
 			defer t.Stop()
 		}
@@ -215,17 +258,7 @@
 	end := func(what decide.Outcome, err error) {
 		tell(nil, outcome{what: what, err: err, took: time.Since(began).Microseconds()})
 	}
-	req, err := newCallRequest(h.addr, parts, limit)
-	if err != nil {
-		end(decide.NotSent, err)
-		return
-	}
-	var text bytes.Buffer
-	if err := req.Write(&text); err != nil {
-		end(decide.NotSent, err)
-		return
-	}
-	conn, what, err := c.send(ctx, h, text.Bytes())
+	conn, req, parts, what, err := c.send(ctx, h, parts, began)
 	if err != nil {
 		end(what, err)
 		return
@@ -252,44 +285,77 @@
 
 var longAgo = time.Unix(1, 0)
 
-// send gets a connection and writes the call to it. With an error, its last
-// byte was not written. A connection that turns out to be of no use before
-// then is replaced: nothing of the call counts so far.
-func (c *call) send(ctx context.Context, h *home, text []byte) (*poolConn, decide.Outcome, error) {
+// send gets a connection and writes the call to it, with those of its parts that
+// still go with it. With an error, its last byte was not written. A connection that
+// turns out to be of no use before then is replaced: nothing of the call counts so far.
+func (c *call) send(ctx context.Context, h *home, all []part, began time.Time) (*poolConn, *http.Request, []part, decide.Outcome, error) {
+	fail := func(what decide.Outcome, err error) (*poolConn, *http.Request, []part, decide.Outcome, error) {
+		return nil, nil, nil, what, err
+	}
 	for left := connsMost - 1; ; left-- {
 		conn, err := h.get(ctx)
 		if err == errNoRoom || c.stage.Load() == callStopped {
 			if conn != nil {
 				conn.put()
 			}
-			return nil, decide.NotSent, cmp.Or(err, errWithheld)
+			return fail(decide.NotSent, cmp.Or(err, errWithheld))
 		}
 		if err != nil {
-			return nil, decide.NoConnect, err
+			return fail(decide.NoConnect, err)
 		}
 		conn.left = answerMost
 		if !c.stage.CompareAndSwap(callWaiting, callSending) { // the word came first
 			conn.put()
-			return nil, decide.NotSent, errWithheld
+			return fail(decide.NotSent, errWithheld)
+		}
+		parts := c.still(all)
+		if len(parts) == 0 {
+			conn.put()
+			return fail(decide.NotSent, errTakenOut)
+		}
+		req, text, err := callText(h.addr, parts, began)
+		if err != nil {
+			conn.put()
+			return fail(decide.NotSent, err)
 		}
 		stop := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
-		err = conn.write(ctx, text)
+		err = conn.write(ctx, text, func() bool { return c.commit(parts) })
 		if err == nil {
 			stop() // the caller watches on
-			return conn, 0, nil
+			return conn, req, parts, 0, nil
 		}
 		stop()
 		conn.drop()
+		if err == errTakenOut {
+			left++ // nothing is wrong with the endpoint
+		}
 		if left == 0 || ctx.Err() != nil || c.withheld.Load() {
-			return nil, decide.NoConnect, err
+			return fail(decide.NoConnect, err)
 		}
 		c.stage.Store(callWaiting)
 		if c.withheld.Load() { // said between the two: withhold saw a call under way
-			return nil, decide.NotSent, errWithheld
+			return fail(decide.NotSent, errWithheld)
 		}
 	}
 }
 
+// callText is a call as it is written.
+func callText(hostPort string, parts []part, began time.Time) (*http.Request, []byte, error) {
+	limit := time.Duration(0)
+	for _, p := range parts {
+		limit = max(limit, p.limit)
+	}
+	req, err := newCallRequest(hostPort, parts, limit-time.Since(began))
+	if err != nil {
+		return nil, nil, err
+	}
+	var text bytes.Buffer
+	if err := req.Write(&text); err != nil {
+		return nil, nil, err
+	}
+	return req, text.Bytes(), nil
+}
+
 // unanswered maps a call that was written and has no answer.
 func (c *call) unanswered(ctx context.Context) decide.Outcome {
 	switch {
@@ -526,7 +592,7 @@
 		conn.left = answerMost
 		unwatch := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
 		keep := false
-		if err = conn.write(ctx, text.Bytes()); err == nil {
+		if err = conn.write(ctx, text.Bytes(), func() bool { return true }); err == nil {
 			keep = readAnswer(conn, req, nil, nil, func(x outcome) { o.what, o.status, err = x.what, x.status, x.err })
 		}
 		if !unwatch() || !keep {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -290,7 +290,7 @@
 				r.lastEnd++
 				ep = &endpoint{num: r.lastEnd, gone: true, calls: map[*call]bool{}}
 			}
-			c = &call{ep: ep, stop: func(error) { p.say(hand{Cancel: x.ID}) }}
+			c = &call{ep: ep, written: true, stop: func(error) { p.say(hand{Cancel: x.ID}) }}
 			c.stage.Store(callSending)
 			calls[x.Call] = c
 		}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -679,6 +679,9 @@
 		return
 	}
 	m.over = true
+	if m.call != nil { // before anybody is told
+		m.call.takeOut(m)
+	}
 	ms := (a.After + 999) / 1000
 	if q := m.req; q != nil { // not taken on: the client hears it at once
 		m.req = nil
@@ -845,9 +848,14 @@
 // callOff stops waiting for a message of a call. The call itself goes on as
 // long as another of its messages wants it.
 func (r *Relay) callOff(c *call, m *message) {
+	unsent := c.takeOut(m)
 	for _, x := range c.msgs {
 		if x.call == c && !x.unsaid {
-			r.in.put(happening{call: c, msg: m, result: &outcome{what: decide.Cancelled, err: errCancelled}})
+			o := outcome{what: decide.Cancelled, err: errCancelled}
+			if unsent { // and it will not be
+				o.what = decide.NotSent
+			}
+			r.in.put(happening{call: c, msg: m, result: &o})
 			return
 		}
 	}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -266,8 +266,9 @@
 //
 // There is a moment before that byte: a connection that its endpoint has
 // dropped in silence, or drops now, is reset as soon as anything reaches it,
-// and shows so while it is still certain that the call has not run.
-func (c *poolConn) write(ctx context.Context, text []byte) error {
+// and shows so while it is still certain that the call has not run. commit is asked
+// when nothing but that byte is left; where it says no the byte stays.
+func (c *poolConn) write(ctx context.Context, text []byte, commit func() bool) error {
 	last := len(text) - 1
 	if _, err := c.Conn.Write(text[:last]); err != nil {
 		return err
@@ -283,6 +284,9 @@
 	if !c.clean() {
 		return errUnasked
 	}
+	if !commit() {
+		return errTakenOut
+	}
 	_, err := c.Conn.Write(text[last:])
 	return err
 }
