Share no call with what is given up later where settings allow one copy

Followed with a line for each call written and dropped:

A safe message is given up after its aim, an unsafe one at its deadline; in one call (Policy.call) the first is tried again while the call is out for the other. Ruled out: a connection left open by the relay, an answer that came late, a restart between the two.

Where no second copy is allowed only what is given up at one moment shares a call. What is cut at its deadline alone is never tried again, so it may.

--- a/decide/api.go
+++ b/decide/api.go
@@ -62,6 +62,7 @@
 	RatesListed    bool    // list entries carry the calls a second that a destination takes
 	Probes         bool    // probes are allowed
 	Cancels        bool    // calling off an attempt is allowed
+	Copies         bool    // a message may have a second attempt out beside the first
 	RetryAfter     bool    // clients are given advice with a refusal
 	MaxRetryAfter  Time    // the longest advice that clients heed
 	AskForList     bool    // list changes come only when asked for
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1087,7 +1087,7 @@
 		if c.left >= d.kind.Batch {
 			break
 		}
-		if m == d.pick || c.left > 0 && !trial {
+		if m == d.pick || c.left > 0 && !trial && p.mayShare(m, d.pick, ep) {
 			p.send(m, c)
 		}
 	}
@@ -1099,6 +1099,14 @@
 	p.fly(c, d.pick)
 }
 
+// mayShare: where a message may have one attempt out at a time, those of a call are given up together. One
+// that is given up sooner would be tried again while its call is still out for the others.
+func (p *Policy) mayShare(m, pick *message, ep *endpoint) bool {
+	once := m.class.Repeat == Unsafe
+	same := once == (pick.class.Repeat == Unsafe) && (once || p.span(m, ep) == p.span(pick, ep))
+	return p.set.Copies || same
+}
+
 // fly books a call that is out; m is the message that it was made for.
 func (p *Policy) fly(c *call, m *message) {
 	ep := c.ep
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -467,6 +467,28 @@
 	}
 }
 
+// TestNoCopiesByACallInPart: where no second copy is allowed, what is given up sooner than others does not
+// share a call with them; its next attempt would go out beside the first.
+func TestNoCopiesByACallInPart(t *testing.T) {
+	for _, copies := range []bool{false, true} {
+		s := one()
+		s.Copies = copies
+		s.Kinds[0].Batch = 4
+		s.Classes = []Class{s.Classes[0], s.Classes[0], s.Classes[0]}
+		s.Classes[1].Repeat = Unsafe
+		s.Classes[2].Aim *= 2
+		r := newRig(t, s, ready(1, 1000))
+		r.step(r.message(0, 0), r.message(1, 0), r.message(2, 0), r.message(0, 0), r.message(1, 0))
+		cuts := map[Time]int{}
+		for _, a := range r.sends {
+			cuts[a.At]++
+		}
+		if mixed := len(cuts) > 1; mixed != copies || len(r.sends) < 2 {
+			t.Errorf("copies allowed: %v; one call with %d messages is given up at %d moments", copies, len(r.sends), len(cuts))
+		}
+	}
+}
+
 // TestWaitOfATakenBatch: an answer that took the messages may tell to wait, and binds as a refusal's does.
 func TestWaitOfATakenBatch(t *testing.T) {
 	s := one()
--- a/decide/guards_test.go
+++ b/decide/guards_test.go
@@ -32,6 +32,7 @@
 		{"refusal", "return m.class.Repeat == Keyed && !m.class.ZoneOnly", "return m.class.Repeat == Keyed", "TestRules"},
 		{"budget", "return ep.budget.level(p.now, rate, max(depth, ep.need)) >= ep.need", "return ep.budget.level(p.now, rate, max(depth, ep.need)) >= -99", "TestFailBackBudget"},
 		{"outage", "ep.sick || ep.score < p.verdict(ep.lane)", "true", "TestPartialSuccessKeepsTheBudget"},
+		{"one at a time", "return p.set.Copies || same", "return same || true", "TestNoCopiesByACallInPart"},
 		{"overdue", "func() { p.overdue(c) })", "func() {})", "TestSilentCallLeavesTheWindow"},
 		{"calling off", "p.review(c)\n\t}\n\tp.calls++", "}\n\tp.calls++", "TestReclaim"},
 	} {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,7 +17,7 @@
 	d := decide.Settings{Relays: s.Balancers, Zone: s.Zone, Slots: s.Specifics.CallsOut, MaxHeld: l.MostHeld,
 		MaxAttempts: l.MostTries, Halving: s.Specifics.Late == "halving", OverShareWorth: s.OverShareWorth,
 		WorthByWork: s.ValueBy == "work", RatesListed: s.Weights != "" && s.Weights != "none",
-		Probes: l.Probing, Cancels: l.MayCancel, RetryAfter: l.RetryAfter, MaxRetryAfter: l.MaxRetryAfter,
+		Probes: l.Probing, Cancels: l.MayCancel, Copies: l.ParallelTries, RetryAfter: l.RetryAfter, MaxRetryAfter: l.MaxRetryAfter,
 		AskForList: s.Discovery == "on_request", AskEvery: f.AskEvery, ConnectTimeout: l.ConnectTimeout,
 		KeepAlive: l.KeepAlive, Streams: l.StreamsPerConn, Tick: s.Tick, AnswerSlack: f.AnswerSlack,
 		DrainGrace: f.DrainGrace, StartCapacity: f.StartCapacity, RampTime: f.RampTime,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -348,6 +348,7 @@
 		MayCancel      bool  `json:"may_cancel"`
 		MostHeld       int   `json:"most_held"`
 		MostTries      int   `json:"most_tries"`
+		ParallelTries  bool  `json:"parallel_tries"`
 		Probing        bool  `json:"probing"`
 		RetryAfter     bool  `json:"retry_after"`
 		StreamsPerConn int   `json:"streams_per_conn"`
