End a call's connection before its outcome is told

Found in reading, next to the second copies: call.run told an outcome and closed the connection after it. A message that timed out, or whose answer could not be read to its end, could be sent again by the loop while the endpoint still held the first call to be wanted. The connection ends first now; a delivery, after which nothing more is sent, is told at its first line as before.

TestCallEndsBeforeItsOutcomeIsTold: the endpoint must see the end while the outcome is being told.

--- a/internal/relay/crossing_test.go
+++ b/internal/relay/crossing_test.go
@@ -160,3 +160,41 @@
 		t.Error("its call may still be written")
 	}
 }
+
+// The connection of a call that is given up ends before anybody hears of it: the next
+// attempt would go out beside a call that its endpoint still holds to be wanted.
+func TestCallEndsBeforeItsOutcomeIsTold(t *testing.T) {
+	for name, answer := range map[string]string{"silent": "", "no answer at all": "nonsense\r\n\r\n",
+		"never ending": "HTTP/1.1 500 Internal Server Error\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"} {
+		t.Run(name, func(t *testing.T) {
+			gone := make(chan struct{})
+			h := testPool(t).home(rawEndpoint(t, func(c net.Conn) {
+				in := bufio.NewReader(c)
+				if readCall(in) {
+					io.WriteString(c, answer)
+					in.ReadByte() // until the caller closes
+					close(gone)
+				}
+			}))
+			limit := testLimit
+			if answer == "" {
+				limit = 50 * time.Millisecond
+			}
+			told := 0
+			newTestCall().run(h, []part{{rec: &record{ID: "m"}, limit: limit}}, nil, func(_ *message, o outcome) {
+				told++
+				if o.what != decide.TimedOut && o.what != decide.Errored {
+					t.Errorf("got %+v", o)
+				}
+				select {
+				case <-gone:
+				case <-time.After(testLimit):
+					t.Error("told while the connection is open")
+				}
+			})
+			if told != 1 {
+				t.Errorf("told %d times", told)
+			}
+		})
+	}
+}
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -272,6 +272,11 @@
 		if o.what == decide.Reset {
 			o.what = c.unanswered(ctx)
 		}
+		if o.err != nil && o.what != decide.Delivered {
+			// First its end, then the word of it: the next attempt must not go out
+			// beside this one, where the endpoint still takes it for one that is wanted.
+			conn.Close()
+		}
 		// Nobody waits for the call any more; what is left of its answer has
 		// its own bound.
 		tell(nil, o)
