Keep two calls of one step to one endpoint from becoming one that is given up in parts

Where one copy is allowed, an endpoint that got a call in this step gets no other one in it that is given up at another moment; what waits is looked at in the next.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -942,6 +942,9 @@
 	if m.doubtAt > 0 && m.class.Repeat == Keyed && m.class.ZoneOnly && ep.zone != m.doubtIn {
 		return false
 	}
+	if c := ep.last; c != nil && c.sent == p.now && !p.mayShare(m, c.msgs[0], ep) {
+		return false // what one step sends there travels in one call; the next step is soon
+	}
 	// An unsafe message has one try that may run: not where calls fail, but for one that is late already.
 	return m.class.Repeat != Unsafe || !ep.sick || ep.goodAt > 0 || p.now > m.aimAt
 }
@@ -1096,6 +1099,9 @@
 	}
 	p.spend(ep)
 	l.bound = false
+	if ep.last = c; !p.set.Copies && len(d.queue) > 0 {
+		p.later.add(p.now+1, func() { p.touch(d) })
+	}
 	p.fly(c, d.pick)
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -486,6 +486,21 @@
 		if mixed := len(cuts) > 1; mixed != copies || len(r.sends) < 2 {
 			t.Errorf("copies allowed: %v; one call with %d messages is given up at %d moments", copies, len(r.sends), len(cuts))
 		}
+		// With room for several calls in one step: a host puts what goes to one endpoint together.
+		r.p.eps[1].lane.window = 8
+		for len(r.p.live) > r.p.aloft {
+			if r.now += 5000; r.now > 1010*second {
+				t.Fatal("the rest is never sent")
+			}
+			r.step(Event{Kind: EvTimer})
+			cuts = map[Time]int{}
+			for _, a := range r.sends {
+				cuts[a.At]++
+			}
+			if len(cuts) > 1 && !copies {
+				t.Error("two calls of one step are given up at different moments")
+			}
+		}
 	}
 }
 
--- a/decide/guards_test.go
+++ b/decide/guards_test.go
@@ -33,6 +33,7 @@
 		{"budget", "return ep.budget.level(p.now, rate, max(depth, ep.need)) >= ep.need", "return ep.budget.level(p.now, rate, max(depth, ep.need)) >= -99", "TestFailBackBudget"},
 		{"outage", "ep.sick || ep.score < p.verdict(ep.lane)", "true", "TestPartialSuccessKeepsTheBudget"},
 		{"one at a time", "return p.set.Copies || same", "return same || true", "TestNoCopiesByACallInPart"},
+		{"one step", "c.sent == p.now && !p.", "c.sent < 0 && !p.", "TestNoCopiesByACallInPart"},
 		{"overdue", "func() { p.overdue(c) })", "func() {})", "TestSilentCallLeavesTheWindow"},
 		{"calling off", "p.review(c)\n\t}\n\tp.calls++", "}\n\tp.calls++", "TestReclaim"},
 	} {
--- a/decide/state.go
+++ b/decide/state.go
@@ -83,6 +83,7 @@
 	lane      *lane
 	state     Readiness
 	flying    int
+	last      *call // made to it last
 	conns     int
 	missed    int  // connections that did not come up since the last success
 	restUntil Time // failing, but not yet held to be out
