Open a silent watch anew within its 6 s, and leave no silent agent without a request

What the agent gets at its return counts at once. And a watch that fell silent was seen after 3.5 s and opened anew after up to 3.75 s (300 relays), where word counts as told 6 s after the silence began. The lines at fault: discovery.pause after silence, and the pause after a watch that was heard.

A watch that served is opened anew within half the drain's grace; what stays without an answer is asked again with no pause, after half of what is left of the 6 s and then a round at most; refusals keep their growing pauses, with another try before the time. A line that was cut is left to the next watch, a list may come indented over many lines, and one from before what is known is not taken (for 6 s).

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -60,14 +60,14 @@
 func parseList(text []byte) (*List, error) {
 	l := &List{}
 	if err := json.Unmarshal(text, l); err != nil {
-		return nil, fmt.Errorf("discovery: %w", err)
+		return nil, err
 	}
 	if l.Members == nil {
-		return nil, errors.New("discovery: no members")
+		return nil, errors.New("no members")
 	}
 	for i := range l.Members {
 		if err := l.Members[i].check(); err != nil {
-			return nil, fmt.Errorf("discovery: %w", err)
+			return nil, err
 		}
 	}
 	return l, nil
@@ -84,6 +84,8 @@
 	discQueue   = 3 * time.Second         // no answer is waited for longer, however large the fleet
 	discRound   = 30 * time.Second        // nor does a round last longer
 	discTold    = 4 * time.Second         // after a move word counts as told so soon, whether it was asked for or not
+	discDue     = 6 * time.Second         // the same after the last word of a watch that has fallen silent
+	discHold    = 10 * time.Second        // no request is left open for longer without an answer
 	listMost    = 4 << 20                 // bytes of a list or a line
 )
 
@@ -121,6 +123,8 @@
 	silence time.Duration
 	answer  time.Duration // how long an answer is waited for
 	round   time.Duration // in which all relays together ask once again
+	grace   time.Duration // in which a watch that has ended is opened anew
+	due     time.Time     // when further word counts as told, whether it comes or not
 	news    func(*List)   // called in order
 }
 
@@ -133,7 +137,7 @@
 func newDiscovery(addr string, relays int, known *List, log *slog.Logger, news func(*List)) *discovery {
 	all := time.Duration(relays) * discTurn
 	answer := min(max(all, discAnswer), discQueue)
-	return &discovery{addr: addr, known: known, moves: newMailbox[string](), log: log, client: newPlainClient(4, answer),
+	return &discovery{addr: addr, known: known, moves: newMailbox[string](), log: log, client: newPlainClient(4, 0),
 		silence: discSilence, answer: answer, round: min(max(all, discPause), discRound), news: news}
 }
 
@@ -168,28 +172,79 @@
 	if d.known != nil && len(d.known.Members) > 0 {
 		rev, whole, d.known = d.known.Revision, true, nil
 	}
-	for failed := 0; ctx.Err() == nil; {
-		var err error
+	d.due = time.Now().Add(discTold)
+	older := time.Time{} // since when only lists from before rev come
+	for failed, mute := 0, 0; ctx.Err() == nil; {
+		wait := d.wait(mute, rand.Float64())
+		asked, heard, err := time.Now(), false, error(nil)
 		if !whole {
 			var l *List
-			if l, err = d.fetch(ctx); err == nil {
-				rev, whole = l.Revision, true
+			if l, err = d.fetch(ctx, wait); err == nil && l.Revision < rev {
+				if older.IsZero() {
+					older = asked
+				}
+				if time.Since(older) < discDue { // later on it is taken for one that counts anew
+					err = fmt.Errorf("discovery: %w", errOlder)
+				}
+			}
+			if err == nil {
+				rev, whole, older = l.Revision, true, time.Time{}
 				d.news(l)
 			}
 		}
-		failed++
 		if whole {
-			heard := false
-			if rev, whole, heard, err = d.watch(ctx, rev); heard {
-				failed = 1
-			}
+			rev, whole, heard, err = d.watch(ctx, rev, wait)
 		}
-		if ctx.Err() == nil {
-			pause := d.pause(failed, rand.Float64())
-			d.log.Warn("discovery: watch over", "revision", rev, "whole", whole, "pause_ms", pause.Milliseconds(), "err", err)
-			sleep(ctx, pause)
+		if ctx.Err() != nil {
+			return
+		}
+		pause := time.Duration(0)
+		if heard {
+			failed, mute = 0, 0
+		}
+		switch {
+		case heard && time.Since(asked) >= discAnswer: // it served for a while: what the agent has counts all the same
+			pause = time.Duration(rand.Float64() * float64(min(d.grace, d.round)))
+		case isSilent(err): // what is asked while discovery is down is answered as it returns
+			mute++
+		default:
+			failed++
+			pause = d.rest(failed, rand.Float64())
 		}
+		d.log.Warn("discovery: watch over", "revision", rev, "whole", whole, "pause_ms", pause.Milliseconds(), "err", err)
+		sleep(ctx, pause)
+	}
+}
+
+// rest is the pause after so many refusals in a row. As long as word does not count
+// as told there is another try before it does.
+func (d *discovery) rest(failed int, u float64) time.Duration {
+	pause := d.pause(failed, u)
+	if left := time.Until(d.due); left > 0 {
+		pause = min(pause, time.Duration((0.25+u/2)*float64(left)))
 	}
+	return pause
+}
+
+var (
+	errSilent = errors.New("silent")
+	errOlder  = errors.New("a list from before the one that is known")
+)
+
+func isSilent(err error) bool {
+	var ne net.Error
+	return errors.Is(err, errSilent) || errors.As(err, &ne) && ne.Timeout()
+}
+
+// wait is how long an answer is waited for after so many that did not come. The
+// first time another try must still fit in before word counts as told: the request
+// may be lost. Discovery that is down answers what is open as it returns, and what
+// it has counts at once then, so from there on a request is left open for a round.
+func (d *discovery) wait(mute int, u float64) time.Duration {
+	if mute > 0 {
+		return time.Duration((0.75 + u/2) * float64(min(max(d.answer, d.round), discHold)))
+	}
+	return min(d.answer, max(time.Until(d.due)/2, discAnswer))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -202,40 +257,50 @@
 }
 
 // fetch asks once for the whole list.
-func (d *discovery) fetch(ctx context.Context) (*List, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.answer)
+func (d *discovery) fetch(ctx context.Context, wait time.Duration) (*List, error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, wait, errSilent)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+listPath, nil)
+	text, err := d.ask(ctx)
+	if cause := context.Cause(ctx); err != nil && cause != nil {
+		err = cause
+	}
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
-	resp, err := d.client.Do(req)
+	l, err := parseList(text)
+	if err == nil && !l.Complete {
+		err = errors.New("the whole list was asked for, a part came")
+	}
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("discovery: list: status %d", resp.StatusCode)
+	return l, nil
+}
+
+func (d *discovery) ask(ctx context.Context) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+listPath, nil)
+	if err != nil {
+		return nil, err
 	}
-	text, err := io.ReadAll(io.LimitReader(resp.Body, listMost))
+	resp, err := d.client.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("discovery: %w", err)
+		return nil, err
 	}
-	l, err := parseList(text)
-	if err == nil && !l.Complete {
-		err = errors.New("discovery: the whole list was asked for, a part came")
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("list: status %d", resp.StatusCode)
 	}
-	return l, err
+	return io.ReadAll(io.LimitReader(resp.Body, listMost))
 }
 
 // watch follows the changes after a version. whole tells whether the list is
 // still known up to the version that it returns; after a line that cannot be
 // read it is not, and the whole list must be had again. heard tells that
 // discovery took the watch.
-func (d *discovery) watch(ctx context.Context, from int64) (rev int64, whole, heard bool, err error) {
+func (d *discovery) watch(ctx context.Context, from int64, wait time.Duration) (rev int64, whole, heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	quiet := time.AfterFunc(d.silence, func() { cancel(errors.New("silent")) })
+	quiet := time.AfterFunc(wait, func() { cancel(errSilent) })
 	defer quiet.Stop()
 	url := d.base + listPath + "?watch=1&from=" + strconv.FormatInt(from, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -244,6 +309,9 @@
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
 		return from, true, false, fmt.Errorf("discovery: %w", err)
 	}
 	defer resp.Body.Close()
@@ -252,24 +320,41 @@
 		// the whole list besides would double what it has to do.
 		return from, resp.StatusCode >= 500, false, fmt.Errorf("discovery: watch: status %d", resp.StatusCode)
 	}
+	quiet.Reset(d.silence)
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 4096), listMost)
+	lines.Split(wholeLines)
+	var object []byte // the lines of one that comes indented, so far
 	for rev = from; lines.Scan(); {
 		quiet.Reset(d.silence)
+		d.due = time.Now().Add(discDue)
 		first := !heard
 		if heard = true; first {
 			d.log.Info("discovery: watching", "revision", from)
 		}
-		text := bytes.TrimSpace(lines.Bytes())
-		if len(text) == 0 {
+		text := bytes.TrimRight(lines.Bytes(), " \t\r")
+		if len(object) > 0 || string(text) == "{" {
+			if len(object) > 0 && (len(text) == 0 || text[0] == '{') || len(object)+len(text) > listMost {
+				return rev, false, heard, errors.New("discovery: a list without its end")
+			}
+			object = append(object, text...)
+			if string(text) != "}" {
+				continue
+			}
+			text, object = object, nil
+		}
+		if text = bytes.TrimSpace(text); len(text) == 0 {
 			if first { // nothing is new, which the start waits to hear
 				d.news(&List{Revision: rev})
 			}
 			continue
 		}
 		l, err := parseList(text)
+		if err == nil && l.Revision < rev {
+			err = errOlder
+		}
 		if err != nil {
-			return rev, false, heard, err
+			return rev, false, heard, fmt.Errorf("discovery: %w", err)
 		}
 		rev = l.Revision
 		d.news(l)
@@ -286,6 +371,15 @@
 	return rev, true, heard, fmt.Errorf("discovery: %w", err)
 }
 
+// wholeLines splits off lines, and leaves out one that was cut: the next watch brings
+// it again.
+func wholeLines(data []byte, _ bool) (advance int, line []byte, err error) {
+	if i := bytes.IndexByte(data, '\n'); i >= 0 {
+		return i + 1, data[:i], nil
+	}
+	return 0, nil, nil
+}
+
 // Words for the ends that a notice tells.
 const (
 	endGivenUp    = "given_up"
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -145,6 +145,7 @@
 	r.share(len(held.foreign) > 0)
 	elder := r.meet()
 	r.discovery = newDiscovery(cfg.Discovery, cfg.Policy.Relays, cfg.Known, log, func(l *List) { r.in.put(happening{news: l}) })
+	r.discovery.grace = time.Duration(cfg.Policy.DrainGrace) * time.Microsecond / 2
 	r.notices = newNotices(cfg.Discovery, log, func(id string) { r.wal.submit(&record{Kind: recEnd, ID: id}, nil) })
 	r.agent, r.reload = cfg.Discovery, re
 	go r.discovery.run(ctx)
