Tell a refusal for want of a connection from one of a limit

Endpoints there take few connections, 300 relays keep theirs for 10 s, and whoever has none is refused. The relay (outcome.read) told the module of a destination over its limit, which it took for one that is shut. Ruled out: the limits (x0 above 0 in all reports but 98), broken connections (5).

Such an answer is told as one for want of a connection: it counts against accepts like any outcome, but moves neither window, pace, rate nor verdict, rests the lane for about a usual answer, and counts connections of that kind as running out, so that all give back theirs sooner (Policy.keep, as before for refused ones).

--- a/decide/api.go
+++ b/decide/api.go
@@ -150,7 +150,7 @@
 	EvList     EventKind = iota // news of the list: List, Entries
 	EvMessage                   // a new message: Message, Key, Left, Class, Dest, Tenant, Work, Tries, DoubtAt, DoubtIn, Rules, Most, OutOn, OutAt, Call
 	EvBegun                     // an answer has begun to flow: Message, Attempt
-	EvOutcome                   // an attempt is over: Message, Attempt, Endpoint, Outcome, Wait, Slots, Took, Settled, Load
+	EvOutcome                   // an attempt is over: Message, Attempt, Endpoint, Outcome, Wait, Slots, Crowded, Took, Settled, Load
 	EvWithdraw                  // nobody wants the message any more: Message
 	EvTimer                     // a timer has come: Token
 	EvProbed                    // a probe was answered: Endpoint, Outcome, Took, Load
@@ -221,6 +221,7 @@
 	Outcome  Outcome
 	Settled  bool // EvOutcome: nothing more is owed for the message
 	Slots    bool // EvOutcome, NotSent: all slots were taken
+	Crowded  bool // EvOutcome, Full: for want of a connection there, whatever the destination takes
 	Attempt  int
 	Class    int
 	Dest     int
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -530,7 +530,14 @@
 		// What all relays have saved up together is more than is left: each may keep that share of its part.
 		l.tokens.tokens = min(l.tokens.tokens, 1+e.Load.Left*(p.depth(l)-1))
 	}
-	if t := &p.tight[l.dest.kindAt]; e.Outcome == NoConnect {
+	if t := &p.tight[l.dest.kindAt]; e.Crowded && e.Outcome == Full {
+		// Told outright, it says nothing of limit or health: the next call may find a place. What all keep
+		// idle there is given back meanwhile (keep).
+		*t += (1 - *t) / tightSpan
+		ep.conns = ep.flying
+		l.pauseUntil = max(l.pauseUntil, p.now+Time((0.5+p.rng.Float64())*float64(p.usual(l.dest))))
+		return
+	} else if e.Outcome == NoConnect {
 		ep.missed++
 	} else {
 		*t -= *t / tightSpan
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -290,3 +290,26 @@
 		}
 	}
 }
+
+// TestCrowdedIsNoLimit: an endpoint that has no place for another connection is neither over its limit nor
+// out, however often it says so; idle connections are given back for it.
+func TestCrowdedIsNoLimit(t *testing.T) {
+	s := one()
+	s.Relays, s.RatesListed = 300, false
+	r := newRig(t, s, ready(1, 0))
+	ep := r.p.eps[1]
+	l := ep.lane
+	l.window = 4
+	for range 4 {
+		r.now += second
+		r.p.now = r.now
+		r.p.observe(&call{ep: ep, sent: r.now - second/10, msgs: []*message{{class: &r.p.set.Classes[0]}}},
+			&Event{Kind: EvOutcome, Outcome: Full, Crowded: true})
+	}
+	if ep.sick || ep.score > 0 || l.window != 4 || l.boost != 1 || l.fullRun != 0 || l.nominal != 0 {
+		t.Errorf("out %v, score %v, window %v, pace by %v, refusals in a row %d, rate %v", ep.sick, ep.score, l.window, l.boost, l.fullRun, l.nominal)
+	}
+	if l.pauseUntil <= r.now || r.p.keep(ep) >= s.KeepAlive {
+		t.Errorf("rests for %d us, keeps what is idle for %d", l.pauseUntil-r.now, r.p.keep(ep))
+	}
+}
--- a/internal/relay/crossing_test.go
+++ b/internal/relay/crossing_test.go
@@ -198,3 +198,33 @@
 		})
 	}
 }
+
+// A refusal that ends its new connection and brings no report is one for want of a
+// place; on a connection that was there before, or with a report, it is not.
+func TestRefusedForWantOfAConnection(t *testing.T) {
+	for _, x := range []struct {
+		head string
+		used bool
+		want bool
+	}{{"503 Service Unavailable\r\nConnection: close\r\n", false, true}, {"503 Service Unavailable\r\nConnection: close\r\n", true, false},
+		{"503 Service Unavailable\r\n", false, false}, {"503 Service Unavailable\r\nConnection: close\r\nX-Server-Load: x0=0,x1=3\r\n", false, false},
+		{"503 Service Unavailable\r\nConnection: close\r\nSlots-Taken: 1\r\n", false, false},
+		{"429 Too Many Requests\r\nConnection: close\r\nRetry-After: 1\r\n", false, false}} {
+		h := testPool(t).home(rawEndpoint(t, func(c net.Conn) {
+			in := bufio.NewReader(c)
+			if x.used && readCall(in) {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+			if readCall(in) {
+				io.WriteString(c, "HTTP/1.1 "+x.head+"Content-Length: 0\r\n\r\n")
+			}
+		}))
+		if x.used {
+			newTestCall().made(t, h, &record{ID: "before"}, testLimit)
+			settled(h)
+		}
+		if o := newTestCall().made(t, h, &record{ID: "m"}, testLimit); o.crowded != x.want {
+			t.Errorf("%q, connection used before %v: %+v", x.head, x.used, o)
+		}
+	}
+}
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -158,6 +158,7 @@
 	what    decide.Outcome
 	wait    decide.Time
 	slots   bool // not sent, since all slots were taken
+	crowded bool // turned away for want of a connection
 	settled bool // the message is over
 	took    decide.Time
 	load    decide.Load
@@ -444,6 +445,10 @@
 		o.err = fmt.Errorf("answer not whole, %d bytes read: %w", answerMost-conn.left, o.err)
 		o.what, o.spoilt, o.wait, o.slots, o.settled, o.ends = decide.Errored, true, 0, false, false, nil
 	}
+	// An endpoint that has no place for another connection says so on it and ends it,
+	// and has no report of what it could take.
+	o.crowded = o.what == decide.Full && status == http.StatusServiceUnavailable && resp.Close && conn.calls == 0 &&
+		resp.Header.Get("X-Server-Load") == "" && o.wait == 0
 	tell(o)
 	return o.err == nil && !resp.Close
 }
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -73,6 +73,7 @@
 	What    decide.Outcome `json:"what"`
 	Wait    decide.Time    `json:"wait,omitempty"`
 	Slots   bool           `json:"slots,omitempty"`
+	Crowded bool           `json:"crowded,omitempty"`
 	Settled bool           `json:"settled,omitempty"`
 	Took    decide.Time    `json:"took"`
 	Load    decide.Load    `json:"load"`
@@ -360,7 +361,7 @@
 	case h.Outcome != nil:
 		x := h.Outcome
 		if m := r.ids[x.ID]; m != nil && m.call != nil && m.call.ctx == nil {
-			o := &outcome{what: x.What, wait: x.Wait, slots: x.Slots, settled: x.Settled, took: x.Took, load: x.Load,
+			o := &outcome{what: x.What, wait: x.Wait, slots: x.Slots, crowded: x.Crowded, settled: x.Settled, took: x.Took, load: x.Load,
 				status: x.Status, spoilt: x.Spoilt}
 			if x.Err != "" {
 				o.err = errors.New(x.Err)
@@ -612,7 +613,7 @@
 
 // pass reports the end of an attempt to the process that has the message now.
 func (r *Relay) pass(m *message, o *outcome) {
-	x := &handOutcome{ID: m.rec.ID, What: o.what, Wait: o.wait, Slots: o.slots, Settled: o.settled, Took: o.took,
+	x := &handOutcome{ID: m.rec.ID, What: o.what, Wait: o.wait, Slots: o.slots, Crowded: o.crowded, Settled: o.settled, Took: o.took,
 		Load: o.load, Status: o.status, Spoilt: o.spoilt}
 	if o.err != nil {
 		x.Err = o.err.Error()
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -908,7 +908,7 @@
 // finished books the end of a message's attempt.
 func (r *Relay) finished(m *message, c *call, o *outcome) {
 	e := decide.Event{Kind: decide.EvOutcome, Message: m.num, Attempt: m.tries - 1, Outcome: o.what, Wait: o.wait,
-		Slots: o.slots, Settled: o.settled || m.over, Took: o.took, Load: o.load}
+		Slots: o.slots, Crowded: o.crowded, Settled: o.settled || m.over, Took: o.took, Load: o.load}
 	if c.ep != nil {
 		e.Endpoint = c.ep.num
 	}
