--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -45,6 +45,7 @@
 	ending  *record     // its end, likewise
 	call    *call       // out
 	unsaid  bool        // the policy has called its attempt off in this step
+	found   bool        // by this start, taken on and never tried, and neither called nor ended since
 }
 
 // happening is something that the loop is told.
@@ -105,10 +106,23 @@
 	due       bool  // the heir is ready
 	handed    bool  // it has taken over
 	sharing   bool  // another process runs beside this one
+	untried   untried
 	reload    Reload
 	ctx       context.Context
 }
 
+// untried counts what this process found taken on and never tried: what was taken on
+// is to be tried, through restarts too.
+type untried struct{ found, called, ended int }
+
+// sayUntried logs it once there is nothing open of it, and at the end of the process.
+func (r *Relay) sayUntried(last bool) {
+	u := r.untried
+	if open := u.found - u.called - u.ended; u.found > 0 && (open == 0 || last) {
+		r.log.Info("resumed untried", "found", u.found, "called", u.called, "ended_without", u.ended, "open", open)
+	}
+}
+
 func (r *Relay) now() decide.Time { return clockStart + time.Since(r.began).Microseconds() }
 
 // wall turns a moment of the policy's clock into one of the log's.
@@ -270,6 +284,8 @@
 				c.num = r.lastCall
 			}
 			e.OutOn, e.OutAt, e.Call = c.ep.num, max(r.fromWall(rec.Out), 1), c.num
+		} else if m.found = rec.Tries == 0; m.found {
+			r.untried.found++
 		}
 		r.events = append(r.events, e)
 		r.log.Info("resumed", "message", rec.ID, "class", rec.Class, "tries", rec.Tries,
@@ -330,6 +346,7 @@
 		}
 		idle := len(r.waiting) == 0 && r.calls == 0 && (r.held == 0 || gone >= stopSends)
 		if !listening && idle || gone >= stopCalls {
+			r.sayUntried(true)
 			r.log.Info("stopped", "held", r.held, "calls", r.calls)
 			return
 		}
@@ -702,7 +719,12 @@
 		r.remember(m, fault(errors.New("given up")))
 	}
 	r.log.Info("ended", "message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest, "outcome", word, "tries", m.tries,
-		"left_ms", r.leftMS(m))
+		"left_ms", r.leftMS(m), "found_untried", m.found)
+	if m.found {
+		m.found = false
+		r.untried.ended++
+		r.sayUntried(false)
+	}
 	if !m.heard {
 		m.ending = &record{Notice: word, RetryMS: ms}
 		return
@@ -825,6 +847,12 @@
 	for _, m := range c.msgs {
 		m.call = c
 		c.out++
+		if m.found {
+			m.found = false
+			r.untried.called++
+			r.log.Info("resumed message called", "message", m.rec.ID, "left_ms", r.leftMS(m))
+			r.sayUntried(false)
+		}
 	}
 	h, msgs, loads := c.ep.home, slices.Clone(c.msgs), r.cfg.loads
 	parts := make([]part, 0, len(msgs)) // the log's goroutine alone appends
