Call first what a restart finds untried, and let it make no room

Policy.order puts first what loses most by waiting. What has waited through a restart is late, loses little by more of it, and never has its turn where new messages come; Policy.shed ends it first where room is short.

Rate, window and the fail-back budget are untouched, only the order changes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -70,6 +70,10 @@
 	p.set.Streams = max(s.Streams, 1)
 	p.set.Tick = max(s.Tick, second/1000)
 	p.share = max(math.Pow(float64(s.Relays), shareRoot), float64(s.Relays)/shareMost)
+	p.dear = 0
+	for i := range s.Classes {
+		p.dear = max(p.dear, s.Classes[i].Worth)
+	}
 	p.fall = 1 - min(boostFall*math.Pow(float64(s.Relays), fallRoot), boostLeast)
 	tight := make([]float64, max(len(s.Kinds), len(p.tight), 1)) // a destination may be of a kind of before
 	copy(tight, p.tight)
@@ -239,7 +243,7 @@
 	p.live = append(p.live, m)
 	p.later.add(m.deadline-p.margin(), func() { p.look(m) })
 	p.resume(m, e)
-	if e.Rules != nil {
+	if m.owed = e.Rules != nil; m.owed {
 		p.ease(m.dest)
 	}
 	if e.OutOn != 0 {
@@ -339,7 +343,7 @@
 		low := math.Inf(1)
 		p.passes++
 		for _, m := range p.live {
-			if p.refusable(m) {
+			if p.refusable(m) && !(m.owed && m.tries == 0) {
 				d := m.dest
 				if d.pass != p.passes { // the same for all that wait there
 					at := p.opens(d)
@@ -993,12 +997,17 @@
 	}
 }
 
-// order puts first what loses most if it waits as long as the queue takes.
+// order puts first what loses most if it waits as long as the queue takes. What an earlier process left
+// untried goes before it, within what the destination is sent anyway: late, it would lose least and never
+// have its turn. Harm: what is new may wait for it, once after a restart.
 func (p *Policy) order(d *dest) {
 	soon := p.now + p.usual(d)
 	then := soon + p.drain(d)
 	for _, m := range d.queue {
 		m.loss = p.value(m, soon) - p.value(m, then)
+		if m.owed && m.tries == 0 { // it was taken on, and has waited through a restart as well
+			m.loss += p.dear
+		}
 	}
 	slices.SortStableFunc(d.queue, func(a, b *message) int {
 		return cmp.Or(cmp.Compare(b.loss, a.loss), cmp.Compare(a.aimAt, b.aimAt))
--- a/decide/guards_test.go
+++ b/decide/guards_test.go
@@ -34,6 +34,8 @@
 		{"outage", "ep.sick || ep.score < p.verdict(ep.lane)", "true", "TestPartialSuccessKeepsTheBudget"},
 		{"one at a time", "return p.set.Copies || same", "return same || true", "TestNoCopiesByACallInPart"},
 		{"one step", "c.sent == p.now && !p.", "c.sent < 0 && !p.", "TestNoCopiesByACallInPart"},
+		{"untried first", "m.loss += p.dear", "", "TestUntriedGoesFirst"},
+		{"untried keeps its place", " && !(m.owed && m.tries == 0)", "", "TestUntriedGoesFirst"},
 		{"overdue", "func() { p.overdue(c) })", "func() {})", "TestSilentCallLeavesTheWindow"},
 		{"calling off", "p.review(c)\n\t}\n\tp.calls++", "}\n\tp.calls++", "TestReclaim"},
 	} {
--- a/decide/resume_test.go
+++ b/decide/resume_test.go
@@ -1,6 +1,9 @@
 package decide
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // A message that an earlier process took on keeps its past: what may have run
 // goes out again only as its class allows, and its attempts count on.
@@ -60,3 +63,33 @@
 		})
 	}
 }
+
+// TestUntriedGoesFirst: what an earlier process took on and never tried has its call before what is new, though
+// it is late and loses less by waiting, and it makes no room for others; tried once it is one of many.
+func TestUntriedGoesFirst(t *testing.T) {
+	s := one()
+	s.MaxHeld = 8
+	r := newRig(t, s)
+	events := []Event{r.message(0, 0), r.message(0, 0), r.message(0, 0), r.message(0, 0), r.message(0, 0), r.message(0, 0)}
+	for i := range events { // new, and just past their aim: they lose by each moment
+		events[i].Left = s.Classes[0].Deadline - s.Classes[0].Aim - second/10
+	}
+	events[0].Rules, events[0].Left = &s.Classes[0], 5*second // untried
+	events[1].Rules, events[1].Left, events[1].Tries = &s.Classes[0], 5*second, 1
+	r.step(events...)
+	var ended []uint32
+	for range 4 {
+		for _, a := range r.step(r.message(0, 0)) {
+			if a.Kind == ActRefuse {
+				ended = append(ended, a.Message)
+			}
+		}
+	}
+	if len(ended) == 0 || ended[0] != events[1].Message || slices.Contains(ended, events[0].Message) {
+		t.Errorf("ended to make room: %v, want %d first and never %d", ended, events[1].Message, events[0].Message)
+	}
+	r.step(Event{Kind: EvList, List: ListFull, Entries: []Entry{ready(1, 1000)}})
+	if len(r.sends) == 0 || r.sends[0].Message != events[0].Message {
+		t.Errorf("sent: %+v, want %d first", r.sends, events[0].Message)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -29,6 +29,7 @@
 	armed   Time
 	asked   Time
 	share   float64   // what a destination's rate is divided by for this relay's part
+	dear    float64   // what the class that is worth most is worth
 	fall    float64   // what a refusal leaves of a pace
 	passes  int       // looks over all that is held so far
 	looks   int       // how often it was asked when a destination opens: the dear part of a turn
@@ -113,7 +114,8 @@
 	worth    float64
 	loss     float64 // by waiting, when its destination was last looked at
 	over     bool
-	place    int // in Policy.live
+	owed     bool // an earlier process took it on
+	place    int  // in Policy.live
 	tries    int
 	most     int       // attempts; 0 for no limit
 	doubtAt  Time      // send of the first attempt that may have run; 0 for none
--- a/internal/relay/crossing_test.go
+++ b/internal/relay/crossing_test.go
@@ -228,3 +228,48 @@
 		}
 	}
 }
+
+// What a restart finds taken on and untried gets its call: where its destination takes
+// it, turns it away for a while, tells to wait, or was failing, and with little time.
+func TestUntriedGetsItsCallAfterARestart(t *testing.T) {
+	turned := func(code int, retry string) func(http.ResponseWriter, *http.Request, int) {
+		return func(w http.ResponseWriter, _ *http.Request, n int) {
+			if n <= 3 {
+				w.Header().Set("Retry-After", retry)
+				w.WriteHeader(code)
+			}
+		}
+	}
+	for name, answer := range map[string]func(http.ResponseWriter, *http.Request, int){"takes": nil,
+		"full": turned(503, ""), "waits": turned(429, "0.3"), "failing": turned(500, "")} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			disc := newFakeDiscovery(t, Member{ID: "s-0", HostPort: "127.0.0.1:1", Cell: 5, Phase: phaseDraining})
+			env := testConfig(t, disc, 3)
+			c := startChild(t, env)
+			cl := dialClient(t, env["ROUTER_LISTEN"])
+			var ids []string
+			for i := range 12 {
+				id, left := "m"+strconv.Itoa(i), 20000
+				if i >= 9 {
+					left = 12000
+				}
+				if s := cl.put(id, fields("plain", left, 5), nil); s != "+OK" { // nobody serves 5
+					t.Fatal(s)
+				}
+				ids = append(ids, id)
+			}
+			c.kill()
+			ep := newFakeEndpoint(t, answer)
+			disc.set(func(d *fakeDiscovery) { d.list.Members = []Member{ep.member("s-1", 5)} })
+			c = startChild(t, env)
+			cl = dialClient(t, env["ROUTER_LISTEN"])
+			for i := range 30 { // what is new does not take their turns
+				cl.put("n"+strconv.Itoa(i), fields("plain", 20000, 5), nil)
+			}
+			for _, id := range ids {
+				waitFor(t, "a call of "+id, func() bool { return ep.count(id) > 0 })
+			}
+		})
+	}
+}
