Wait at a planned end for half requests, unwritten answers and open notices

Found in reading Relay.loop: after SIGTERM the process ended as soon as no message waited for its answer and no call was out, 1 s on where nothing was held. A request half written by then, an answer given to the connection's goroutine and not written, and a notice that had not arrived were cut. The first two reset a client's connection under its request; the third was known to the log alone until the next start.

The end waits for the clients' last connection, each of which has a time of its own, and for the notices, within the 3.3 s as before. TestEndWaitsForWhatIsOwed fails without it ("no answer: EOF").

--- a/internal/relay/crossing_test.go
+++ b/internal/relay/crossing_test.go
@@ -6,8 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -273,3 +277,44 @@
 		})
 	}
 }
+
+// A planned end waits for what is still owed: the rest of a request that was half
+// written when SIGTERM came, its answer, and the notices that have not arrived.
+func TestEndWaitsForWhatIsOwed(t *testing.T) {
+	disc := newFakeDiscovery(t)
+	disc.set(func(d *fakeDiscovery) { d.answer = http.StatusInternalServerError })
+	env := testConfig(t, disc, 3)
+	c := startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	if s := cl.put("short", fields("plain", 300, 9), nil); s != "+OK" {
+		t.Fatal(s)
+	}
+	logged := func(what string) bool {
+		text, _ := os.ReadFile(filepath.Join(env["ROUTER_STATE"], walName))
+		return strings.Contains(string(text), what)
+	}
+	waitFor(t, "the end of the short one", func() bool { return logged(`"kind":"ending","id":"short"`) })
+	half := putText("half", fields("plain", 20000, 9), []byte("body"))
+	io.WriteString(cl, half[:len(half)/2])
+	io.WriteString(dialClient(t, env["ROUTER_LISTEN"]), half[:1])
+	c.ready(t) // it has read what came before
+	c.cmd.Process.Signal(syscall.SIGTERM)
+	waitFor(t, "the listener's end", func() bool {
+		conn, err := net.Dial("tcp", env["ROUTER_LISTEN"])
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	})
+	io.WriteString(cl, half[len(half)/2:])
+	if s := cl.line(); !strings.HasPrefix(s, "-BUSY ") {
+		t.Errorf("a request that the end has crossed is answered %q", s)
+	}
+	disc.set(func(d *fakeDiscovery) { d.answer = http.StatusNoContent })
+	if err := c.cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	if _, ok := disc.notice("short"); !ok || !logged(`"kind":"end","id":"short"`) {
+		t.Error("ended with a notice that has not arrived")
+	}
+}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -421,6 +422,7 @@
 	tries  []*noticeTry  // out, the oldest first
 	over   *mailbox[*noticeTry]
 	taken  func(id string)
+	owed   atomic.Int64 // ends given and not confirmed
 }
 
 // owedNotice is one that is not confirmed yet.
@@ -586,6 +588,7 @@
 
 func (n *notices) settle(x *owedNotice, err error, now time.Time) {
 	x.told = true
+	n.owed.Add(-1)
 	n.log.Debug("told", "message", x.Message, "outcome", x.Outcome, "left_ms", x.until.Sub(now).Milliseconds(), "tries", x.tries)
 	if err != nil {
 		n.log.Error("notices: cannot be read", "message", x.Message, "err", err)
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -252,6 +252,7 @@
 		if rec.Notice != "" {
 			m.over = true
 			r.drop(m)
+			r.notices.owed.Add(1)
 			r.notices.in.put(notice{rec.ID, rec.Notice, rec.RetryMS, time.UnixMicro(rec.Deadline)})
 			continue
 		}
@@ -344,7 +345,10 @@
 			listening = false
 			ln.Close()
 		}
-		idle := len(r.waiting) == 0 && r.calls == 0 && (r.held == 0 || gone >= stopSends)
+		// A client may have written its request, or half of it, as its connection was to
+		// go, and an answer may be given but not written; a notice may not have arrived.
+		idle := len(r.waiting) == 0 && r.calls == 0 && (r.held == 0 || gone >= stopSends) &&
+			r.clients.count() == 0 && r.notices.owed.Load() == 0
 		if !listening && idle || gone >= stopCalls {
 			r.sayUntried(true)
 			r.log.Info("stopped", "held", r.held, "calls", r.calls)
@@ -741,6 +745,7 @@
 		ms = 0
 	}
 	n := notice{m.rec.ID, word, ms, time.UnixMicro(m.rec.Deadline)}
+	r.notices.owed.Add(1)
 	// The notice goes out whether or not it could be logged.
 	r.wal.submit(&record{Kind: recEnding, ID: m.rec.ID, Notice: word, RetryMS: ms}, func(error) { r.notices.in.put(n) })
 }
