--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -777,10 +777,10 @@
 		r.timers.add(now + a.After)
 	case decide.ActProbe:
 		if ep := r.byNum[a.Endpoint]; ep != nil && !ep.gone {
-			h := ep.home
+			h, num := ep.home, a.Endpoint // a is of a buffer that the next step fills again
 			go func() {
 				o := probe(r.ctx, h)
-				r.in.put(happening{probed: a.Endpoint, result: &o})
+				r.in.put(happening{probed: num, result: &o})
 			}()
 		}
 	case decide.ActClose:
