Keep the floor of an attempt in the log by name, not by its place in the settings

Found in reading: the log kept the floor of an attempt that may have run as an index into the settings' localities (record.Zone, DoubtIn). Settings that name them in another order, or other ones, made it another floor at the next start; a class whose repeats only one floor drops could then run twice. Its class and its tenant went by name already. TestReplayGoesByNames takes a message through a start whose settings number class, tenant and floor anew. Logs of before are read as they were.

--- a/internal/relay/crossing_test.go
+++ b/internal/relay/crossing_test.go
@@ -318,3 +318,49 @@
 		t.Error("ended with a notice that has not arrived")
 	}
 }
+
+// A message keeps the terms it was taken on under, by name, through a restart whose
+// settings number everything anew: its tenant and the floor of an attempt that may
+// have run move to other places, and its class is no more.
+func TestReplayGoesByNames(t *testing.T) {
+	settings := func(classes, tenants, floors string) []byte {
+		text := strings.Replace(testSettings, `"localities":["a","b"]`, `"localities":[`+floors+`]`, 1)
+		text = strings.Replace(text, `[{"name":"acme","quota_per_s":1000,"share":1}]`, `[`+tenants+`]`, 1)
+		if classes != "" {
+			from, to := strings.Index(text, `"classes":[`), strings.Index(text, `"discovery"`)
+			text = text[:from] + `"classes":[` + classes + `],` + text[to:]
+		}
+		return []byte(`{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","state":"x","seed":"1","settings":` + text + `}`)
+	}
+	start := func(text []byte) *Relay {
+		cfg, err := parseConfig(text, func(string) string { return "" }, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := testRelay(t)
+		r.cfg = cfg
+		return r
+	}
+	acme, other := `{"name":"acme","quota_per_s":1000,"share":1}`, `{"name":"other","quota_per_s":1,"share":1}`
+	before := start(settings("", acme, `"a","b"`))
+	keyed := before.cfg.Policy.Classes[before.cfg.classes["keyed"]]
+	before.list(&List{Complete: true, Members: []Member{{ID: "s-1", HostPort: "127.0.0.1:1", Locality: "b", Flavor: "k", Cell: 7, Phase: phaseUp}}}, decide.ListFull)
+	rec := &record{Kind: recTaken, ID: "m", Class: "keyed", Tenant: "acme", Key: "k", Dest: 7, Rules: &keyed, Most: 3,
+		Deadline: time.Now().Add(testLimit).UnixMicro()}
+	rec.fold(&record{Kind: recAttempt, At: time.Now().UnixMicro(), Floor: before.endpoints["s-1"].floor})
+	text, err := rec.encode(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for floors, in := range map[string]int{`"b","a"`: 0, `"x","y","b"`: 2, `"a"`: -2} {
+		after := start(settings(`{"deadline_us":9000000,"dedup_window_us":0,"group":"all","late_worth":0.1,"name":"new","repeat":"retryable","target_us":1,"worth":9}`,
+			other+","+acme, floors))
+		again, _ := decodeRecord(text)
+		again.settle()
+		after.restore([]*record{again}, nil)
+		e := after.events[len(after.events)-1]
+		if e.DoubtIn != in || e.Tenant != 1 || e.Rules.Name != "keyed" || *e.Rules != keyed || e.Most != 3 || e.Tries != 1 || e.DoubtAt == 0 {
+			t.Errorf("floors %s: %+v, rules %+v", floors, e, e.Rules)
+		}
+	}
+}
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -43,7 +43,7 @@
 	id        string
 	num       decide.Endpoint
 	cell      int
-	zone      int
+	floor     string
 	batch     int  // messages that one call may carry
 	apart     bool // a route: its waits bind it alone
 	hostPort  string
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -268,6 +268,11 @@
 		}
 		e := decide.Event{Kind: decide.EvMessage, Message: m.num, Dest: rec.Dest, Tenant: -1, Rules: rec.Rules, Most: rec.Most,
 			Left: r.fromWall(rec.Deadline) - r.now(), Tries: rec.Tries, DoubtIn: rec.DoubtIn}
+		if rec.DoubtOn != "" {
+			if e.DoubtIn = place(r.cfg.zones, rec.DoubtOn); e.DoubtIn < 0 {
+				e.DoubtIn-- // a floor that is no more, and that of no endpoint
+			}
+		}
 		r.named[rec.Dest] = true // once, or it would not have been taken on
 		if t, ok := r.cfg.tenants[rec.Tenant]; ok {
 			e.Tenant = t
@@ -591,7 +596,7 @@
 	}
 	entry := decide.Entry{Endpoint: ep.num, Zone: place(r.cfg.zones, x.Locality), Kind: place(r.cfg.kinds, x.Flavor),
 		Dest: x.Cell, State: decide.Ready, Rate: x.Size}
-	ep.zone, ep.batch, ep.apart = entry.Zone, 1, false
+	ep.floor, ep.batch, ep.apart = x.Locality[:min(len(x.Locality), floorMost)], 1, false
 	if entry.Kind >= 0 && entry.Kind < len(r.cfg.Policy.Kinds) {
 		kind := r.cfg.Policy.Kinds[entry.Kind]
 		ep.batch, ep.apart = max(kind.Batch, 1), kind.Apart
@@ -863,7 +868,7 @@
 	parts := make([]part, 0, len(msgs)) // the log's goroutine alone appends
 	for i, m := range msgs {
 		p := part{m: m, rec: m.rec, limit: time.Duration(m.until-now) * time.Microsecond}
-		r.wal.submit(&record{Kind: recAttempt, ID: m.rec.ID, At: r.wall(now), Zone: c.ep.zone}, func(err error) {
+		r.wal.submit(&record{Kind: recAttempt, ID: m.rec.ID, At: r.wall(now), Floor: c.ep.floor}, func(err error) {
 			if err == nil {
 				parts = append(parts, p)
 			} else {
--- a/internal/relay/wal.go
+++ b/internal/relay/wal.go
@@ -29,7 +29,8 @@
 	walSlack  = 16 << 10  // of the disk, never used: file sizes are rounded up
 	walSpare  = 64 << 10  // kept for records on messages that were taken on already
 	walGarden = 1 << 20   // a log this short is not worth compacting
-	stateRoom = 160       // bytes by which a message's record may grow later
+	stateRoom = 300       // bytes by which a message's record may grow later
+	floorMost = 48        // bytes of a floor's name that are kept with it
 	rulesRoom = 320       // bytes that its class's rules take at most
 )
 
@@ -59,7 +60,8 @@
 	Dest     int        `json:"dest,omitempty"`
 	Deadline int64      `json:"deadline,omitempty"`
 	At       int64      `json:"at,omitempty"`     // attempt: when it goes out
-	Zone     int        `json:"zone,omitempty"`   // attempt: of its endpoint
+	Floor    string     `json:"floor,omitempty"`  // attempt: of its endpoint, by name: places move with settings
+	Zone     int        `json:"zone,omitempty"`   // the same as a place, in logs of before
 	Ran      bool       `json:"ran,omitempty"`    // outcome: it may have run
 	Notice   string     `json:"notice,omitempty"` // ending: the word for it
 	RetryMS  int64      `json:"retry_ms,omitempty"`
@@ -70,8 +72,10 @@
 	Most    int           `json:"most,omitempty"`  // attempts
 	Doubt   int64         `json:"doubt,omitempty"` // send of the first attempt that may have run
 	DoubtIn int           `json:"doubt_in,omitempty"`
-	Out     int64         `json:"out,omitempty"` // send of an attempt with no outcome yet
+	DoubtOn string        `json:"doubt_on,omitempty"` // its floor
+	Out     int64         `json:"out,omitempty"`      // send of an attempt with no outcome yet
 	OutIn   int           `json:"out_in,omitempty"`
+	OutOn   string        `json:"out_on,omitempty"`
 
 	body []byte
 }
@@ -81,12 +85,12 @@
 	switch r.Kind {
 	case recAttempt:
 		t.Tries++
-		t.Out, t.OutIn = r.At, r.Zone
+		t.Out, t.OutIn, t.OutOn = r.At, r.Zone, r.Floor
 	case recOutcome:
 		if r.Ran && t.Doubt == 0 {
-			t.Doubt, t.DoubtIn = t.Out, t.OutIn
+			t.Doubt, t.DoubtIn, t.DoubtOn = t.Out, t.OutIn, t.OutOn
 		}
-		t.Out, t.OutIn = 0, 0
+		t.Out, t.OutIn, t.OutOn = 0, 0, ""
 	case recEnding:
 		t.Notice, t.RetryMS = r.Notice, r.RetryMS
 	}
@@ -253,7 +257,7 @@
 			l.rec, have.rec = have.rec, l.rec
 		}
 		if have.rec.Doubt == 0 {
-			have.rec.Doubt, have.rec.DoubtIn = l.rec.Doubt, l.rec.DoubtIn
+			have.rec.Doubt, have.rec.DoubtIn, have.rec.DoubtOn = l.rec.Doubt, l.rec.DoubtIn, l.rec.DoubtOn
 		}
 		if have.rec.Notice == "" {
 			have.rec.Notice, have.rec.RetryMS = l.rec.Notice, l.rec.RetryMS
