--- a/internal/relay/crossing_test.go
+++ b/internal/relay/crossing_test.go
@@ -154,7 +154,7 @@
 // anybody hears of the end.
 func TestEndTakesOutOfTheCall(t *testing.T) {
 	r := testRelay(t)
-	r.wal = &wal{in: newMailbox[walOp]()}
+	r.wal, r.notices = &wal{in: newMailbox[walOp]()}, newNotices("127.0.0.1:1", quietLog(), nil)
 	m := r.newMessage(&record{ID: "m", Class: "plain"})
 	m.heard = true
 	m.call = newTestCall()
@@ -364,3 +364,62 @@
 		}
 	}
 }
+
+// An answer that lands as its message is given up changes nothing any more: what was
+// told first stands, and the call gives its slot back once.
+func TestAnswerAsTheCallIsGivenUp(t *testing.T) {
+	for _, late := range []decide.Outcome{decide.Delivered, decide.Errored} {
+		r := testRelay(t)
+		r.wal = &wal{in: newMailbox[walOp]()}
+		c := newTestCall()
+		c.ep = &endpoint{num: 1, calls: map[*call]bool{c: true}}
+		r.calls = 1
+		m := r.newMessage(&record{ID: "m", Class: "once"})
+		m.heard, m.tries, m.call = true, 1, c
+		c.msgs, c.out = []*message{m}, 1
+		r.returned(c, m, &outcome{what: decide.TimedOut, err: context.DeadlineExceeded})
+		r.returned(c, nil, &outcome{what: late, settled: late == decide.Delivered, status: 200})
+		if len(r.events) != 1 || r.events[0].Outcome != decide.TimedOut || r.calls != 0 || len(c.ep.calls) != 0 || m.over {
+			t.Errorf("%d events, %d calls, over %v", len(r.events), r.calls, m.over)
+		}
+		if ops := r.wal.in.takeAll(nil); len(ops) != 1 || !ops[0].rec.Ran {
+			t.Errorf("logged %d records", len(ops))
+		}
+	}
+}
+
+// A client that sends a burst ahead of its answers and goes leaves nothing behind that
+// is held for it, and each message that was taken on has its one end.
+func TestBurstAndGone(t *testing.T) {
+	ep := newFakeEndpoint(t, nil)
+	disc := newFakeDiscovery(t, ep.member("s-1", 7))
+	env := testConfig(t, disc, 3)
+	startChild(t, env)
+	conn, err := net.Dial("tcp", env["ROUTER_LISTEN"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := ""
+	for i := range 20 {
+		text += putText("b"+strconv.Itoa(i), fields("once", 20000, 7), nil)
+	}
+	io.WriteString(conn, text)
+	conn.Close()
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	for i := range 3 {
+		id := "after" + strconv.Itoa(i)
+		if s := cl.put(id, fields("once", 20000, 7), nil); s != "+OK" {
+			t.Fatal(s)
+		}
+		waitFor(t, id, func() bool { return ep.count(id) == 1 })
+	}
+	waitFor(t, "an end of each", func() bool {
+		log, _ := os.ReadFile(filepath.Join(env["ROUTER_STATE"], walName))
+		return strings.Count(string(log), `"kind":"taken"`) == strings.Count(string(log), `"kind":"end"`)
+	})
+	for i := range 20 {
+		if n := ep.count("b" + strconv.Itoa(i)); n > 1 {
+			t.Errorf("message %d went out %d times", i, n)
+		}
+	}
+}
