Keep what is known of outages through a restart, and count a batch's senders

Cause: `decide` holds an outage and the ramp after it in memory only. A relay that is restarted as a destination comes back begins at it as at a sound one.

Change: the policy says when an outage, a ramp or its end begins (ActOutage); the log keeps it as a record of its own, in a 32nd of the disk, the newest first to stay; a start tells the policy of those that are listed, now or later. The guess of the sharers counts a batch's messages.

What each relay assumes of the others, from the settings alone: there are `Relays` of them; those with something for a destination are no more than messages came at twice its rate since the outage began.

--- a/decide/api.go
+++ b/decide/api.go
@@ -273,6 +273,7 @@
 	ActWatch                     // subscribe to list changes
 	ActFetch                     // ask once for the whole list
 	ActLog                       // Text
+	ActOutage                    // Endpoint: what Policy.Outage tells of it has changed
 	numActions                   // count of the kinds
 )
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -172,7 +172,9 @@
 // leave lets go of an endpoint, sick or not; calls still out there keep their place in the books. A route
 // with a wait in force stays, so that the wait binds it if it comes back.
 func (p *Policy) leave(ep *endpoint) {
-	ep.state = Gone
+	if ep.state = Gone; ep.sick {
+		p.act(Action{Kind: ActOutage, Endpoint: ep.id})
+	}
 	l := ep.lane
 	if p.eps[ep.id] == ep && (!l.dest.kind.Apart || l.waitUntil <= p.now) {
 		delete(p.eps, ep.id)
@@ -646,6 +648,7 @@
 	ep.okAt = p.now
 	if ep.sick && ep.goodAt == 0 && sent >= ep.badAt {
 		ep.goodAt, ep.goodSent = p.now, sent
+		p.act(Action{Kind: ActOutage, Endpoint: ep.id})
 		p.logf("dest %d: answers again, ramp", ep.lane.dest.id)
 	}
 }
@@ -660,6 +663,9 @@
 	}
 	ep.score = ep.score*scoreKeep + 1 - scoreKeep
 	if ep.goodAt == 0 || ep.score >= scoreSick { // where most calls pass, a failure does not undo the ramp
+		if ep.goodAt > 0 && ep.sick {
+			p.act(Action{Kind: ActOutage, Endpoint: ep.id})
+		}
 		ep.badAt, ep.goodAt, ep.mute = p.now, 0, mute
 	}
 	if ep.sick || ep.score < p.verdict(ep.lane) {
@@ -671,6 +677,7 @@
 			x.sick, x.mute, x.goodAt, x.badAt = true, mute, 0, p.now
 			x.budget, x.firstBad = bucket{}, ep.firstBad
 			x.budget.at, x.need = p.now, p.rng.ExpFloat64()
+			p.act(Action{Kind: ActOutage, Endpoint: x.id})
 		}
 	}
 	p.logf("dest %d: seen failing, trial calls", ep.lane.dest.id)
@@ -683,6 +690,9 @@
 		s += (1 - s) * float64(p.now-ep.goodAt) / float64(max(p.set.RampTime, 1))
 	}
 	if s >= 1 && ep.goodAt > 0 {
+		if ep.sick {
+			p.act(Action{Kind: ActOutage, Endpoint: ep.id})
+		}
 		ep.sick, ep.score = false, 0
 	}
 	return s
@@ -691,13 +701,13 @@
 // budgetRate is this relay's part of what the endpoint may be sent while cold: calls a second, and how many
 // may come at once. A burst and the refill of one fall time together stay inside the budget. It is shared by
 // the relays that may have something for the destination since the outage began: all of them where they are
-// few, else about as many as messages have come since.
+// few, else about as many as messages have come since, of which a call may carry several.
 func (p *Policy) budgetRate(ep *endpoint) (rate, depth float64) {
 	n := len(ep.lane.eps) // what is gone is not among them
 	fall := float64(max(p.set.FallTime, second)) / float64(second)
 	whole := p.capacity(ep.lane)
 	age := float64(p.now-ep.firstBad)/float64(second) + fall
-	sharers := min(float64(p.set.Relays), max(1, sharerPart*whole*age))
+	sharers := min(float64(p.set.Relays), max(1, sharerPart*whole*float64(ep.lane.dest.kind.Batch)*age))
 	b := budgetPart * p.set.OverloadFactor * p.ramped(ep) * whole / float64(max(n, 1)) * fall / sharers
 	if depth = b / 4; depth >= 1 {
 		return (b - depth) / fall, depth
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -12,6 +12,19 @@
 	Lanes []LaneMemory
 	Lat   LatencyMemory
 	Tight []float64
+
+	// What a process that has ended left of outages alone: who begins anew at a cold
+	// destination as at a sound one pushes it over.
+	Outages []OutageMemory
+}
+
+// OutageMemory is an outage of one endpoint, or the ramp after it. Moments are those of
+// the policy's clock; GoodAt is 0 until a call that left after the last failure came back.
+type OutageMemory struct {
+	Endpoint         Endpoint
+	Mute             bool
+	FirstBad, BadAt  Time
+	GoodAt, GoodSent Time
 }
 
 // LaneMemory is that of one limit: a destination, or a route where they are apart.
@@ -84,9 +97,39 @@
 	return m
 }
 
+// Outage tells what is known of an endpoint's outage; false where there is none.
+func (p *Policy) Outage(id Endpoint) (OutageMemory, bool) {
+	ep := p.eps[id]
+	if ep == nil || !ep.sick || ep.state == Gone {
+		return OutageMemory{}, false
+	}
+	return OutageMemory{Endpoint: id, Mute: ep.mute, FirstBad: ep.firstBad, BadAt: ep.badAt, GoodAt: ep.goodAt,
+		GoodSent: ep.goodSent}, true
+}
+
+// resumeOutage goes on with an outage or a ramp that an earlier process of this relay saw. Nothing is saved up
+// in its budget: the call that a process has next to make there is drawn anew, with the same mean.
+func (p *Policy) resumeOutage(o *OutageMemory) {
+	ep := p.eps[o.Endpoint]
+	if ep == nil || ep.sick {
+		return
+	}
+	ep.sick, ep.mute, ep.score = true, o.Mute, 1-scoreKeep
+	ep.firstBad, ep.badAt = min(o.FirstBad, p.now), min(o.BadAt, p.now)
+	ep.goodAt, ep.goodSent = min(o.GoodAt, p.now), min(o.GoodSent, p.now)
+	ep.budget, ep.need = bucket{at: p.now}, p.rng.ExpFloat64()
+	p.touch(ep.lane.dest)
+}
+
 // remember takes up what another policy remembered of endpoints that the list
 // has named here too. What is not listed any more is nobody's.
 func (p *Policy) remember(m *Memory) {
+	for i := range m.Outages {
+		p.resumeOutage(&m.Outages[i])
+	}
+	if len(m.Lanes) == 0 && m.Lat.N == 0 {
+		return
+	}
 	p.lat = m.Lat.latency()
 	copy(p.tight, m.Tight)
 	for i := range m.Lanes {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -107,6 +107,7 @@
 	handed    bool  // it has taken over
 	sharing   bool  // another process runs beside this one
 	untried   untried
+	outages   map[string]decide.OutageMemory // found by this start, of endpoints that no list has named yet
 	reload    Reload
 	ctx       context.Context
 }
@@ -194,6 +195,9 @@
 		}
 	}()
 	go r.notices.run(ctx)
+	if len(out) == 0 && r.elder == nil { // an old process that hands over tells more
+		r.resumeOutages(r.wal.outages())
+	}
 	r.restore(owed, out)
 	r.step()
 	ln, err := listen(cfg, r.sharing, log)
@@ -568,6 +572,13 @@
 		}
 	}
 	r.events = append(r.events, e)
+	if len(r.outages) > 0 {
+		ids := make([]string, len(l.Members))
+		for i := range l.Members {
+			ids[i] = l.Members[i].ID
+		}
+		r.tellOutages(ids)
+	}
 	for id, ep := range r.endpoints { // the list's comings and goings must not fill the memory
 		if ep.gone && len(ep.calls) == 0 && r.now() > max(ep.goneAt+forgetGone, ep.waitUntil) && !seen[id] {
 			delete(r.endpoints, id)
@@ -792,6 +803,8 @@
 		if ep := r.byNum[a.Endpoint]; ep != nil && ep.home != nil {
 			ep.home.closeIdle()
 		}
+	case decide.ActOutage:
+		r.keepOutage(a.Endpoint)
 	case decide.ActLog:
 		r.log.Info("policy", "says", a.Text)
 	}
--- /dev/null
+++ b/internal/relay/outages.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"troutusher/decide"
+)
+
+// What a relay knows of outages and of the ramps after them outlasts its process in the
+// log: one that begins anew at a cold destination as at a sound one helps to push it over.
+// Told waits do not; a restart ends them.
+
+// keepOutage logs what the policy knows of an endpoint's outage by now, or that it is over.
+func (r *Relay) keepOutage(num decide.Endpoint) {
+	ep := r.byNum[num]
+	if ep == nil || ep.id == "" {
+		return
+	}
+	rec := &record{Kind: recOutage, ID: ep.id}
+	if o, ok := r.policy.Outage(num); ok {
+		o = moved(o, r.wall)
+		o.Endpoint = 0 // numbers are this process's own
+		rec.Outage = &o
+	}
+	r.wal.submit(rec, nil)
+}
+
+// moved turns the moments of an outage into those of another clock.
+func moved(o decide.OutageMemory, to func(decide.Time) int64) decide.OutageMemory {
+	o.FirstBad, o.BadAt = to(o.FirstBad), to(o.BadAt)
+	if o.GoodAt != 0 {
+		o.GoodAt, o.GoodSent = max(to(o.GoodAt), 1), to(o.GoodSent)
+	}
+	return o
+}
+
+// resumeOutages takes up what the log says of outages: at once for endpoints that are
+// listed, for the others when a list names them.
+func (r *Relay) resumeOutages(found []*record) {
+	r.outages = map[string]decide.OutageMemory{}
+	ids := make([]string, 0, len(found))
+	for _, rec := range found {
+		r.outages[rec.ID] = moved(*rec.Outage, r.fromWall)
+		ids = append(ids, rec.ID)
+	}
+	r.tellOutages(ids)
+	if len(found) > 0 {
+		r.log.Info("resumed outages", "found", len(found), "not_listed", len(r.outages))
+	}
+}
+
+// tellOutages tells the policy of the outages, found at the start, of endpoints that are listed by now.
+func (r *Relay) tellOutages(ids []string) {
+	m := &decide.Memory{}
+	for _, id := range ids {
+		o, found := r.outages[id]
+		ep := r.endpoints[id]
+		if !found || ep == nil || ep.gone {
+			continue
+		}
+		delete(r.outages, id)
+		o.Endpoint = ep.num
+		m.Outages = append(m.Outages, o)
+	}
+	if len(m.Outages) > 0 {
+		r.events = append(r.events, decide.Event{Kind: decide.EvMemory, Memory: m})
+	}
+}
--- a/internal/relay/wal.go
+++ b/internal/relay/wal.go
@@ -32,6 +32,9 @@
 	stateRoom = 300       // bytes by which a message's record may grow later
 	floorMost = 48        // bytes of a floor's name that are kept with it
 	rulesRoom = 320       // bytes that its class's rules take at most
+	// Outages are kept within one part in so many of the disk, the newest of them, each in about outageRoom bytes.
+	outagePart = 32
+	outageRoom = 256
 )
 
 var (
@@ -48,6 +51,7 @@
 	recOutcome recordKind = "outcome" // of the attempt that is out
 	recEnding  recordKind = "ending"  // its notice is to be sent
 	recEnd     recordKind = "end"     // nothing is owed any more
+	recOutage  recordKind = "outage"  // of an endpoint, by its id; without one it is over
 )
 
 // record is one entry of the log. Times are Unix microseconds.
@@ -77,6 +81,9 @@
 	OutIn   int           `json:"out_in,omitempty"`
 	OutOn   string        `json:"out_on,omitempty"`
 
+	// outage: what is known of it, its moments in Unix microseconds.
+	Outage *decide.OutageMemory `json:"outage,omitempty"`
+
 	body []byte
 }
 
@@ -161,8 +168,9 @@
 	file   *os.File
 	size   int64
 	live   map[string]*liveRecord
-	owed   int64 // bytes that the live records need
-	taken  int   // messages so far, for their order
+	out    map[string]*liveRecord // outages, by endpoint
+	owed   int64                  // bytes that the live records need
+	taken  int                    // messages so far, for their order
 	in     *mailbox[walOp]
 	stop   chan struct{}
 	done   chan struct{}
@@ -179,7 +187,8 @@
 // hold, oldest first, and makes its own log of it. An attempt that is under way
 // in out, by its message, goes on there; any other without an outcome may have run.
 func openWAL(l *logs, limit int64, out func(id string) bool, log *slog.Logger) (*wal, []*record, error) {
-	w := &wal{logs: l, path: l.path(l.own, 0), limit: limit, log: log, live: map[string]*liveRecord{}, in: newMailbox[walOp]()}
+	w := &wal{logs: l, path: l.path(l.own, 0), limit: limit, log: log, live: map[string]*liveRecord{}, out: map[string]*liveRecord{},
+		in: newMailbox[walOp]()}
 	var old []string
 	for slot := range walSlots {
 		if l.dead[slot] == nil {
@@ -227,7 +236,7 @@
 // owe lists what is owed.
 func (w *wal) owe() []*record {
 	var owed []*record
-	for _, l := range w.inOrder() {
+	for _, l := range inOrder(w.live) {
 		c := *l.rec
 		owed = append(owed, &c)
 	}
@@ -242,9 +251,12 @@
 	if err != nil {
 		return 0, fmt.Errorf("log: %w", err)
 	}
-	one := &wal{log: w.log, live: map[string]*liveRecord{}}
+	one := &wal{log: w.log, limit: w.limit, live: map[string]*liveRecord{}, out: map[string]*liveRecord{}}
 	one.replay(text)
-	for _, l := range one.inOrder() {
+	for _, l := range inOrder(one.out) {
+		w.keepOutage(l.rec)
+	}
+	for _, l := range inOrder(one.live) {
 		have := w.live[l.rec.ID]
 		if have == nil {
 			w.taken++
@@ -269,7 +281,7 @@
 // adopt takes over what a process left that has ended meanwhile: its slot is
 // locked by now. Its logs go once their messages stand in this one.
 func (w *wal) adopt(slot int, then func([]*record)) {
-	left := &wal{log: w.log, live: map[string]*liveRecord{}}
+	left := &wal{log: w.log, limit: w.limit, live: map[string]*liveRecord{}, out: map[string]*liveRecord{}}
 	files, err := w.logs.files(slot)
 	for i := 0; i < len(files) && err == nil; i++ {
 		os.Remove(files[i] + newSuffix)
@@ -337,6 +349,8 @@
 func (w *wal) apply(r *record) {
 	l := w.live[r.ID]
 	switch {
+	case r.Kind == recOutage:
+		w.keepOutage(r)
 	case r.Kind == recTaken:
 		if l == nil {
 			w.taken++
@@ -353,6 +367,44 @@
 	}
 }
 
+// keepOutage books an outage record. Past their part of the disk the oldest are forgotten: what is
+// known of them costs the destination its slow beginning after a restart, and nothing that is owed.
+func (w *wal) keepOutage(r *record) {
+	if old := w.out[r.ID]; old != nil {
+		w.owed -= old.size
+		delete(w.out, r.ID)
+	}
+	if r.Outage == nil {
+		return
+	}
+	if int64(len(w.out)+1)*outageRoom > w.limit/outagePart {
+		oldest := ""
+		for id, l := range w.out {
+			if oldest == "" || l.seq < w.out[oldest].seq {
+				oldest = id
+			}
+		}
+		if oldest == "" {
+			return // there is no room for any
+		}
+		w.owed -= w.out[oldest].size
+		delete(w.out, oldest)
+	}
+	w.taken++
+	w.out[r.ID] = &liveRecord{rec: r, seq: w.taken, size: outageRoom + int64(len(r.ID))}
+	w.owed += w.out[r.ID].size
+}
+
+// outages lists what is known, the oldest first.
+func (w *wal) outages() []*record {
+	var all []*record
+	for _, l := range inOrder(w.out) {
+		c := *l.rec
+		all = append(all, &c)
+	}
+	return all
+}
+
 func recordRoom(r *record) int64 {
 	n := int64(walHead + len(r.body) + len(r.ID) + len(r.Key) + len(r.Class) + len(r.Tenant) + 160 + stateRoom)
 	if r.Rules != nil {
@@ -361,9 +413,9 @@
 	return n
 }
 
-func (w *wal) inOrder() []*liveRecord {
-	all := make([]*liveRecord, 0, len(w.live))
-	for _, l := range w.live {
+func inOrder(live map[string]*liveRecord) []*liveRecord {
+	all := make([]*liveRecord, 0, len(live))
+	for _, l := range live {
 		all = append(all, l)
 	}
 	slices.SortFunc(all, func(a, b *liveRecord) int { return a.seq - b.seq })
@@ -373,9 +425,11 @@
 // compact writes what is owed to a new file and puts it in the old one's place.
 func (w *wal) compact() error {
 	var text []byte
-	for _, l := range w.inOrder() {
+	for _, l := range append(inOrder(w.out), inOrder(w.live)...) {
 		c := *l.rec
-		c.Kind = recTaken
+		if c.Kind != recOutage {
+			c.Kind = recTaken
+		}
 		var err error
 		if text, err = c.encode(text); err != nil {
 			return err
@@ -476,7 +530,12 @@
 // append writes one record, if there is room for it and for a compaction. What
 // was held already, by another process, has had its room all along.
 func (w *wal) append(r *record, held bool) error {
-	if r.Kind != recTaken && w.live[r.ID] == nil {
+	switch {
+	case r.Kind == recOutage:
+		if r.Outage == nil && w.out[r.ID] == nil {
+			return errNotOwed
+		}
+	case r.Kind != recTaken && w.live[r.ID] == nil:
 		return errNotOwed
 	}
 	var err error
@@ -492,6 +551,9 @@
 			return errDiskFull
 		}
 	}
+	if r.Kind == recOutage && r.Outage != nil {
+		owed += outageRoom + int64(len(r.ID))
+	}
 	if w.size+n+owed > free || w.size > max(walGarden, 4*owed) {
 		if err := w.compact(); err != nil {
 			w.log.Error("log: not compacted", "err", err)
