--- a/cmd/benchlink/host.go
+++ b/cmd/benchlink/host.go
@@ -60,7 +60,9 @@
 	h.acts = r.policy.Step(now, r.events, h.acts[:0])
 	r.events, r.queued = r.events[:0], false
 	for i := range h.acts {
-		h.reply = append(h.reply, action(id, &h.acts[i]))
+		if w, ok := action(id, &h.acts[i]); ok {
+			h.reply = append(h.reply, w)
+		}
 	}
 }
 
@@ -159,8 +161,8 @@
 	return float64(e.Report[at])
 }
 
-// action maps the interface's words to a record.
-func action(id uint16, a *decide.Action) wire.Action {
+// action maps the interface's words to a record; false for what the simulator has no word for.
+func action(id uint16, a *decide.Action) (wire.Action, bool) {
 	w := wire.Action{Relay: id, Ticket: a.Message, Endpoint: uint64(a.Endpoint), Attempt: uint8(a.Attempt),
 		At: uint64(a.At), Token: a.Token, Text: a.Text}
 	w.After = uint32(min(max(a.After, 0), math.MaxUint32))
@@ -185,8 +187,10 @@
 		w.Code = wire.ActRead
 	case decide.ActLog:
 		w.Code = wire.ActLog
+	default:
+		return w, false
 	}
-	return w
+	return w, true
 }
 
 // start makes an instance from its settings text.
--- a/cmd/benchlink/host_test.go
+++ b/cmd/benchlink/host_test.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+
+	"troutusher/decide"
 )
 
 var be = binary.BigEndian
@@ -232,3 +234,23 @@
 		}
 	}
 }
+
+// TestActionsOfTheWire: what the simulator has no word for is left out, and nothing goes out without a code.
+func TestActionsOfTheWire(t *testing.T) {
+	if w, ok := action(1, &decide.Action{Kind: decide.ActOutage, Endpoint: 7}); ok {
+		t.Errorf("an outage to be kept goes out as %+v", w)
+	}
+	coded := 0
+	for kind := range decide.ActionKind(64) {
+		w, ok := action(1, &decide.Action{Kind: kind})
+		if ok != (w.Code != 0) {
+			t.Errorf("action %d: code %d, to be sent %v", kind, w.Code, ok)
+		}
+		if ok {
+			coded++
+		}
+	}
+	if coded != 10 {
+		t.Errorf("%d actions have a code, want 10", coded)
+	}
+}
