Write no repeat of a call past the window in which repeats are dropped

Cause: `decide` lets a keyed message be tried again until two ticks before its window ends, but what it decides is written later: a connection may take its whole time-out to come up (1 s and more), which with a window of 1 s is past it, and a second arrival there takes effect once more. Nothing between the decision and the last byte looked at the window (`call.still`, `call.commit`).

Change: each part of a call carries the end of its window where an attempt before may have run; past it the part is left out as the call is written, and asked for once more right before the last byte. The others of the call go on; what was left out never ran.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -128,15 +128,18 @@
 func (c *call) still(parts []part) []part {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(parts), func(p part) bool { return c.taken[p.m] })
+	now := time.Now()
+	return slices.DeleteFunc(slices.Clone(parts), func(p part) bool { return c.taken[p.m] || p.late(now) })
 }
 
 // commit is said right before the last byte of a call with these parts. It reports
-// false where one of them was taken out since: then that byte must not be written.
+// false where one of them was taken out since, or may not be repeated any more: then
+// that byte must not be written.
 func (c *call) commit(parts []part) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.written = !slices.ContainsFunc(parts, func(p part) bool { return c.taken[p.m] })
+	now := time.Now()
+	c.written = !slices.ContainsFunc(parts, func(p part) bool { return c.taken[p.m] || p.late(now) })
 	return c.written
 }
 
@@ -145,8 +148,13 @@
 	m     *message // told back, never looked into
 	rec   *record
 	limit time.Duration // how long its outcome is waited for
+	by    time.Time     // the end of its window for repeats, where an attempt before may have run
 }
 
+// late reports whether the window is over. A connection may come up long after its
+// attempt was decided on, and what arrives then takes effect once more.
+func (p part) late(now time.Time) bool { return !p.by.IsZero() && !now.Before(p.by) }
+
 // ending is what an answer for several messages says of one of them.
 type ending struct {
 	what    decide.Outcome
@@ -243,6 +251,14 @@
 		limit = max(limit, p.limit)
 	}
 	for _, p := range parts {
+		if !p.by.IsZero() && len(parts) > 1 {
+			t := time.AfterFunc(time.Until(p.by), func() {
+				if c.takeOut(p.m) { // the others go on without it
+					tell(p.m, outcome{what: decide.NotSent, err: errTakenOut, took: time.Since(began).Microseconds()})
+				}
+			})
+			defer t.Stop()
+		}
 		if p.limit < limit {
 			t := time.AfterFunc(p.limit, func() {
 				o := outcome{what: decide.TimedOut, err: context.DeadlineExceeded, took: time.Since(began).Microseconds()}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -40,6 +40,8 @@
 	logged  bool     // the log has it, or will
 	over    bool     // the policy has ended it, or was told so
 	tries   int
+	sent    int64       // its last attempt, as the log has it: Unix microseconds
+	doubt   int64       // the first attempt that may have run, likewise; 0 for none
 	until   decide.Time // when its last send times out
 	pending *call       // waits for the clients of all its messages to have heard
 	ending  *record     // its end, likewise
@@ -48,6 +50,15 @@
 	found   bool        // by this start, taken on and never tried, and neither called nor ended since
 }
 
+// repeatBy is the moment from which a message may not be sent again, since an attempt
+// that may have run is longer ago than repeats are dropped; zero for never.
+func (m *message) repeatBy() time.Time {
+	if c := m.rec.Rules; m.doubt != 0 && c != nil && c.Repeat == decide.Keyed {
+		return time.UnixMicro(m.doubt + c.DedupWindow)
+	}
+	return time.Time{}
+}
+
 // happening is something that the loop is told.
 type happening struct {
 	put     *request
@@ -252,7 +263,7 @@
 			continue // one owner per id
 		}
 		m := r.newMessage(rec)
-		m.heard, m.logged, m.tries = true, true, rec.Tries
+		m.heard, m.logged, m.tries, m.sent, m.doubt = true, true, rec.Tries, rec.Out, rec.Doubt
 		if rec.Notice != "" {
 			m.over = true
 			r.drop(m)
@@ -852,7 +863,8 @@
 			return true
 		}
 		m.pending = nil
-		if ep := c.ep; ep == nil || ep.gone || ep.waitUntil > now || ep.cell != m.rec.Dest || m.until <= now || m.over {
+		if ep := c.ep; ep == nil || ep.gone || ep.waitUntil > now || ep.cell != m.rec.Dest || m.until <= now || m.over ||
+			(part{by: m.repeatBy()}).late(time.Now()) {
 			r.notSent(m, c, errNoCall)
 			return true
 		}
@@ -880,7 +892,8 @@
 	h, msgs, loads := c.ep.home, slices.Clone(c.msgs), r.cfg.loads
 	parts := make([]part, 0, len(msgs)) // the log's goroutine alone appends
 	for i, m := range msgs {
-		p := part{m: m, rec: m.rec, limit: time.Duration(m.until-now) * time.Microsecond}
+		p := part{m: m, rec: m.rec, limit: time.Duration(m.until-now) * time.Microsecond, by: m.repeatBy()}
+		m.sent = r.wall(now)
 		r.wal.submit(&record{Kind: recAttempt, ID: m.rec.ID, At: r.wall(now), Floor: c.ep.floor}, func(err error) {
 			if err == nil {
 				parts = append(parts, p)
@@ -965,7 +978,9 @@
 	}
 	logged := m.call == c
 	if logged {
-		m.call = nil
+		if m.call = nil; m.doubt == 0 && !o.what.NeverRan() {
+			m.doubt = m.sent
+		}
 		if c.out--; c.out == 0 {
 			r.calls--
 			delete(c.ep.calls, c)
