Wait in two tests for the state that they go by, not for the answer before it

Cause: TestConnectionsBounded takes a client for idle once it has its answer; the relay books that a little later, and on a busy machine let go of another one. TestLargestFleetOnSmallestMachine takes the new process for ready at the first PONG, which the old one may give; the address is free for a moment after.

Change: both wait for the state itself; what they assert is unchanged.

--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -222,6 +222,17 @@
 			t.Fatal(s)
 		}
 		all = append(all, cl)
+		// Its answer is here before the relay has booked it: only then is it idle, and the oldest.
+		waitFor(t, "the request to be over", func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			for cc := range c.conns {
+				if cc.busy > 0 || !cc.spoke {
+					return false
+				}
+			}
+			return true
+		})
 	}
 	if _, err := all[0].in.ReadByte(); !errors.Is(err, io.EOF) {
 		t.Errorf("the oldest: %v", err)
--- a/internal/relay/size_test.go
+++ b/internal/relay/size_test.go
@@ -77,7 +77,8 @@
 	c.checkMemory(t)
 
 	heir := startSmallChild(t, env)
-	c.ended(t) // it has handed all over
+	c.ended(t)    // it has handed all over
+	heir.ready(t) // the address was free for a moment: the first to answer may have been the old one
 	cl = dialClient(t, env["ROUTER_LISTEN"])
 	serve(ep, "inherited", 6)
 	heir.checkMemory(t)
