Keep the ids of what has ended and must not take effect twice through a restart

Cause: ids that are over were known to the process that held them alone (`Relay.past`). After a restart or an upgrade one that came again was taken on and called once more.

Change: the log keeps the id, the end and its time of each message that ended and whose class may not simply be repeated, when it is compacted, in a 32nd of the disk, the oldest going first, until its time and its class's deadline are over. A start answers such an id with what became of it. What was withdrawn unheard and never ran is not kept.

Measured: TestEndedIsKnownAfterARestart, three kills: an unsafe and a keyed message are called once, a safe one once more after each; TestEndedIDsAreBounded: 102 of 1,000 in 512 KiB. Before, the unsafe one was taken on (README, open list). 3 MB hold 614 ids: what ends before the last 614 of such messages is not known after a restart.

--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -206,6 +206,7 @@
 		}
 	}()
 	go r.notices.run(ctx)
+	r.recall(r.wal.ended())
 	if len(out) == 0 && r.elder == nil { // an old process that hands over tells more
 		r.resumeOutages(r.wal.outages())
 	}
@@ -563,6 +564,20 @@
 	r.past.add(m.rec.ID, reply, r.now(), turn)
 }
 
+// recall takes up which messages have ended under an earlier process.
+func (r *Relay) recall(ended []*record) {
+	for _, rec := range ended {
+		reply := replyOK
+		switch rec.Notice {
+		case endHandedBack:
+			reply = busy(rec.RetryMS)
+		case endGivenUp:
+			reply = fault(errors.New("given up"))
+		}
+		r.remember(&message{rec: rec}, reply)
+	}
+}
+
 // list books news of the list.
 func (r *Relay) list(l *List, kind decide.ListNews) {
 	e := decide.Event{Kind: decide.EvList, List: kind}
@@ -1002,7 +1017,7 @@
 	}
 	switch {
 	case o.settled:
-		r.wal.submit(&record{Kind: recEnd, ID: m.rec.ID}, nil)
+		r.wal.submit(&record{Kind: recEnd, ID: m.rec.ID, Ran: true}, nil)
 	case logged:
 		r.wal.submit(&record{Kind: recOutcome, ID: m.rec.ID, Ran: !o.what.NeverRan()}, nil)
 	}
--- a/internal/relay/terms_test.go
+++ b/internal/relay/terms_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -241,3 +242,83 @@
 		t.Errorf("the last of %d processes is ready after %v", processes, took)
 	}
 }
+
+// What has ended and must not take effect twice is known through restarts: who comes with its id again hears what
+// became of it, and nothing is called. What may run any number of times is taken on again.
+func TestEndedIsKnownAfterARestart(t *testing.T) {
+	ep := newFakeEndpoint(t, nil)
+	env := testConfig(t, newFakeDiscovery(t, ep.member("s-1", 1)), 3)
+	c := startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	put := func(id, class string) {
+		t.Helper()
+		if s := cl.put(id, fields(class, 20000, 1), nil); s != "+OK" {
+			t.Fatalf("%s: %s", id, s)
+		}
+	}
+	for _, class := range []string{"once", "keyed", "plain"} {
+		put(class, class)
+		waitFor(t, "its end in the log", func() bool {
+			text, _ := os.ReadFile(filepath.Join(env["ROUTER_STATE"], walName))
+			return strings.Contains(string(text), fmt.Sprintf(`"kind":"end","id":%q`, class))
+		})
+	}
+	for n := range 3 { // the second start reads a compacted log
+		c.kill()
+		c = startChild(t, env)
+		cl = dialClient(t, env["ROUTER_LISTEN"])
+		for _, class := range []string{"once", "keyed", "plain"} {
+			put(class, class)
+		}
+		waitFor(t, "what may run again", func() bool { return ep.count("plain") == n+2 })
+		put(fmt.Sprint("marker", n), "once")
+		waitFor(t, "what is new", func() bool { return ep.count(fmt.Sprint("marker", n)) == 1 })
+		if ep.count("once") != 1 || ep.count("keyed") != 1 {
+			t.Fatalf("after %d starts: unsafe one called %d times, keyed one %d", n+1, ep.count("once"), ep.count("keyed"))
+		}
+	}
+}
+
+// The ids of what has ended keep to their part of the disk, the newest are kept, each until its time is long over.
+func TestEndedIDsAreBounded(t *testing.T) {
+	const limit = 512 << 10
+	dir := t.TempDir()
+	w, _ := openTestWAL(t, dir, limit)
+	cfg := testSet(t)
+	take := func(id string, class int, deadline time.Time) {
+		t.Helper()
+		mustAppend(t, w, &record{Kind: recTaken, ID: id, Deadline: deadline.UnixMicro(), Rules: &cfg.Policy.Classes[class]})
+	}
+	once, soon := cfg.classes["once"], time.Now().Add(time.Minute)
+	take("long-ago", once, time.Now().Add(-time.Hour))
+	take("safe", cfg.classes["plain"], soon)
+	take("withdrawn", once, soon)
+	mustAppend(t, w, &record{Kind: recEnd, ID: "long-ago", Ran: true}, &record{Kind: recEnd, ID: "safe", Ran: true},
+		&record{Kind: recEnd, ID: "withdrawn"})
+	if n := len(w.ended()); n != 0 {
+		t.Fatalf("%d ids are kept of what may run again, never ran, or is long over", n)
+	}
+	const all = 1000
+	for i := range all {
+		id := fmt.Sprintf("m%04d", i)
+		take(id, once, soon)
+		if i%2 == 1 {
+			mustAppend(t, w, &record{Kind: recEnding, ID: id, Notice: endGivenUp})
+		}
+		mustAppend(t, w, &record{Kind: recEnd, ID: id, Ran: i%2 == 0})
+	}
+	w.start()
+	w.halt()
+	w.logs.release()
+	again, owed := openTestWAL(t, dir, limit)
+	ended := again.ended()
+	if want := limit / overPart / overRoom; len(ended) != want || len(owed) != 0 {
+		t.Fatalf("%d ids kept, want %d; %d owed", len(ended), want, len(owed))
+	}
+	for i, rec := range ended {
+		n := all - len(ended) + i
+		if rec.ID != fmt.Sprintf("m%04d", n) || (rec.Notice == endGivenUp) != (n%2 == 1) {
+			t.Fatalf("%d of %d: %+v", i, len(ended), rec)
+		}
+	}
+}
--- a/internal/relay/wal.go
+++ b/internal/relay/wal.go
@@ -11,6 +11,7 @@
 	"os"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"troutusher/decide"
 )
@@ -35,6 +36,9 @@
 	// Outages are kept within one part in so many of the disk, the newest of them, each in about outageRoom bytes.
 	outagePart = 32
 	outageRoom = 256
+	// So are the ids of messages that have ended, of classes that may not simply be repeated.
+	overPart = 32
+	overRoom = 160
 )
 
 var (
@@ -52,6 +56,7 @@
 	recEnding  recordKind = "ending"  // its notice is to be sent
 	recEnd     recordKind = "end"     // nothing is owed any more
 	recOutage  recordKind = "outage"  // of an endpoint, by its id; without one it is over
+	recOver    recordKind = "over"    // has ended, and must not take effect again; where the log was compacted
 )
 
 // record is one entry of the log. Times are Unix microseconds.
@@ -62,12 +67,12 @@
 	Tenant   string     `json:"tenant,omitempty"`
 	Key      string     `json:"key,omitempty"`
 	Dest     int        `json:"dest,omitempty"`
-	Deadline int64      `json:"deadline,omitempty"`
-	At       int64      `json:"at,omitempty"`     // attempt: when it goes out
-	Floor    string     `json:"floor,omitempty"`  // attempt: of its endpoint, by name: places move with settings
-	Zone     int        `json:"zone,omitempty"`   // the same as a place, in logs of before
-	Ran      bool       `json:"ran,omitempty"`    // outcome: it may have run
-	Notice   string     `json:"notice,omitempty"` // ending: the word for it
+	Deadline int64      `json:"deadline,omitempty"` // over: until when its id is kept
+	At       int64      `json:"at,omitempty"`       // attempt: when it goes out
+	Floor    string     `json:"floor,omitempty"`    // attempt: of its endpoint, by name: places move with settings
+	Zone     int        `json:"zone,omitempty"`     // the same as a place, in logs of before
+	Ran      bool       `json:"ran,omitempty"`      // outcome: it may have run; end: it was delivered
+	Notice   string     `json:"notice,omitempty"`   // ending: the word for it
 	RetryMS  int64      `json:"retry_ms,omitempty"`
 	// The state of a message, as earlier records left it.
 	Tries int `json:"tries,omitempty"`
@@ -169,6 +174,8 @@
 	size   int64
 	live   map[string]*liveRecord
 	out    map[string]*liveRecord // outages, by endpoint
+	over   map[string]*liveRecord // ended, by id
+	ends   []string               // the ids in over, in the order of their ends; some may be gone from it
 	owed   int64                  // bytes that the live records need
 	taken  int                    // messages so far, for their order
 	in     *mailbox[walOp]
@@ -183,12 +190,16 @@
 	size int64
 }
 
+func newWAL(limit int64, log *slog.Logger) *wal {
+	return &wal{limit: limit, log: log, live: map[string]*liveRecord{}, out: map[string]*liveRecord{}, over: map[string]*liveRecord{}}
+}
+
 // openWAL recovers what the logs of this process's slot and of dead processes
 // hold, oldest first, and makes its own log of it. An attempt that is under way
 // in out, by its message, goes on there; any other without an outcome may have run.
 func openWAL(l *logs, limit int64, out func(id string) bool, log *slog.Logger) (*wal, []*record, error) {
-	w := &wal{logs: l, path: l.path(l.own, 0), limit: limit, log: log, live: map[string]*liveRecord{}, out: map[string]*liveRecord{},
-		in: newMailbox[walOp]()}
+	w := newWAL(limit, log)
+	w.logs, w.path, w.in = l, l.path(l.own, 0), newMailbox[walOp]()
 	var old []string
 	for slot := range walSlots {
 		if l.dead[slot] == nil {
@@ -251,11 +262,14 @@
 	if err != nil {
 		return 0, fmt.Errorf("log: %w", err)
 	}
-	one := &wal{log: w.log, limit: w.limit, live: map[string]*liveRecord{}, out: map[string]*liveRecord{}}
+	one := newWAL(w.limit, w.log)
 	one.replay(text)
 	for _, l := range inOrder(one.out) {
 		w.keepOutage(l.rec)
 	}
+	for _, l := range inOrder(one.over) {
+		w.keepOver(l.rec)
+	}
 	for _, l := range inOrder(one.live) {
 		have := w.live[l.rec.ID]
 		if have == nil {
@@ -281,7 +295,7 @@
 // adopt takes over what a process left that has ended meanwhile: its slot is
 // locked by now. Its logs go once their messages stand in this one.
 func (w *wal) adopt(slot int, then func([]*record)) {
-	left := &wal{log: w.log, limit: w.limit, live: map[string]*liveRecord{}, out: map[string]*liveRecord{}}
+	left := newWAL(w.limit, w.log)
 	files, err := w.logs.files(slot)
 	for i := 0; i < len(files) && err == nil; i++ {
 		os.Remove(files[i] + newSuffix)
@@ -307,6 +321,9 @@
 			c := *r
 			owed = append(owed, &c)
 		}
+		for _, l := range inOrder(left.over) {
+			w.keepOver(l.rec)
+		}
 		for _, path := range files {
 			os.Remove(path)
 		}
@@ -351,6 +368,8 @@
 	switch {
 	case r.Kind == recOutage:
 		w.keepOutage(r)
+	case r.Kind == recOver:
+		w.keepOver(r)
 	case r.Kind == recTaken:
 		if l == nil {
 			w.taken++
@@ -362,6 +381,9 @@
 	case r.Kind == recEnd:
 		w.owed -= l.size
 		delete(w.live, r.ID)
+		if c := l.rec.Rules; c != nil && c.Repeat != decide.Safe && (r.Ran || l.rec.Notice != "") {
+			w.keepOver(&record{Kind: recOver, ID: r.ID, Notice: l.rec.Notice, RetryMS: l.rec.RetryMS, Deadline: l.rec.Deadline + c.Deadline})
+		}
 	default:
 		l.rec.fold(r)
 	}
@@ -395,10 +417,42 @@
 	w.owed += w.out[r.ID].size
 }
 
+// keepOver books that a message has ended, for as long as a client or a peer may come with it again. Past their
+// part of the disk the oldest ids are forgotten.
+func (w *wal) keepOver(r *record) {
+	if w.over[r.ID] != nil || r.Deadline < time.Now().UnixMicro() {
+		return
+	}
+	for len(w.ends) > 0 {
+		oldest := w.over[w.ends[0]]
+		if oldest != nil {
+			full := int64(len(w.over)+1)*overRoom > w.limit/overPart
+			if !full && oldest.rec.Deadline >= time.Now().UnixMicro() {
+				break
+			}
+			w.owed -= oldest.size
+			delete(w.over, w.ends[0])
+		}
+		w.ends = w.ends[1:]
+	}
+	if int64(len(w.over)+1)*overRoom > w.limit/overPart {
+		return // there is no room for any
+	}
+	w.taken++
+	w.over[r.ID] = &liveRecord{rec: r, seq: w.taken, size: overRoom + int64(len(r.ID))}
+	w.owed += w.over[r.ID].size
+	w.ends = append(w.ends, r.ID)
+}
+
+// ended lists the messages that must not take effect again, the oldest end first.
+func (w *wal) ended() []*record { return copies(w.over) }
+
 // outages lists what is known, the oldest first.
-func (w *wal) outages() []*record {
+func (w *wal) outages() []*record { return copies(w.out) }
+
+func copies(live map[string]*liveRecord) []*record {
 	var all []*record
-	for _, l := range inOrder(w.out) {
+	for _, l := range inOrder(live) {
 		c := *l.rec
 		all = append(all, &c)
 	}
@@ -425,9 +479,9 @@
 // compact writes what is owed to a new file and puts it in the old one's place.
 func (w *wal) compact() error {
 	var text []byte
-	for _, l := range append(inOrder(w.out), inOrder(w.live)...) {
+	for _, l := range slices.Concat(inOrder(w.out), inOrder(w.over), inOrder(w.live)) {
 		c := *l.rec
-		if c.Kind != recOutage {
+		if c.Kind != recOutage && c.Kind != recOver {
 			c.Kind = recTaken
 		}
 		var err error
@@ -531,6 +585,7 @@
 // was held already, by another process, has had its room all along.
 func (w *wal) append(r *record, held bool) error {
 	switch {
+	case r.Kind == recOver:
 	case r.Kind == recOutage:
 		if r.Outage == nil && w.out[r.ID] == nil {
 			return errNotOwed
