Let a second outage be told by as many failures as the first

Cause: `Policy.ramped` says that a ramp is over and sets the failure score back. It is asked at each look at an endpoint (`mayCall`, `opens`), and its condition, a success since the last failure a ramp's time ago, stayed true after the ramp: the score of any later failure was gone at the next look.

Change: the end of a ramp clears that success too, so that it is said once.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -689,11 +689,9 @@
 	if ep.goodAt > 0 {
 		s += (1 - s) * float64(p.now-ep.goodAt) / float64(max(p.set.RampTime, 1))
 	}
-	if s >= 1 && ep.goodAt > 0 {
-		if ep.sick {
-			p.act(Action{Kind: ActOutage, Endpoint: ep.id})
-		}
-		ep.sick, ep.score = false, 0
+	if s >= 1 && ep.goodAt > 0 { // it is over, and nothing is left of it
+		ep.sick, ep.score, ep.goodAt = false, 0, 0
+		p.act(Action{Kind: ActOutage, Endpoint: ep.id})
 	}
 	return s
 }
