--- a/internal/rig/registry/catalog.go
+++ b/internal/rig/registry/catalog.go
@@ -61,6 +61,7 @@
 	news   chan struct{} // closed at the next change
 	lines  map[int64][]byte
 	latest int64
+	oldest int64 // a watch from before it gets the whole list
 }
 
 // NewCatalog makes a catalog from its spec; the error names the field.
@@ -81,7 +82,7 @@
 		s.Rate = 1000
 	}
 	c := &Catalog{spec: s, stride: 1, byEnd: map[int][]int{}, news: make(chan struct{}), lines: map[int64][]byte{},
-		latest: firstRevision}
+		latest: firstRevision, oldest: firstRevision}
 	if s.Shuffled {
 		n := c.Len()
 		for c.stride = int(s.Seed%uint64(n))*2/3 + n/3; gcd(c.stride, n) != 1; c.stride++ {
@@ -263,11 +264,11 @@
 	c.mu.RLock()
 	line = c.lines[to]
 	single := from == to-1
-	if single && line != nil {
+	if single && line != nil && from >= c.oldest {
 		c.mu.RUnlock()
 		return line, true
 	}
-	if from < firstRevision || from > to {
+	if from < c.oldest || from > to {
 		c.mu.RUnlock()
 		return nil, false
 	}
@@ -305,3 +306,11 @@
 
 // keptLines is how many lines are kept for those that ask for them next.
 const keptLines = 64
+
+// Forget drops what changed when: every watch from a version of before gets the whole list.
+func (c *Catalog) Forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.latest++
+	c.oldest = c.latest
+}
--- a/internal/rig/registry/registry.go
+++ b/internal/rig/registry/registry.go
@@ -78,7 +78,7 @@
 }
 
 // Asked is the number of askings of a list.
-func (c *Count) Asked() int { return c.Lists + c.Watches }
+func (c Count) Asked() int { return c.Lists + c.Watches }
 
 func (c *Count) add(x *Count) {
 	c.Conns += x.Conns
