Hold only the destinations that messages come for, and let go of those that are quiet

Cause: the policy made the state of each destination as a list named it (1,366 bytes of heap for two endpoints), inserted it into a sorted slice, and touched all of them on new settings: at 880,000 destinations 1.1 GB and 30 ms for one change of settings.

Change: destinations are a map; settings have only those looked at that hold messages, in order. With a Directory the policy asks for a destination's endpoints when a message comes for it, drops list entries of others at once, and lets go of a destination that has not been used for a minute or longer (the longest deadline, window for repeats, ramp, kept connection) and of which nothing is owed, out, told, resting or ramping; ActRelease tells the host. What was learned of a destination that was kept lapses by the same rule, so that the actions are the same. History bins are made when there is something to count.

--- a/decide/api.go
+++ b/decide/api.go
@@ -189,6 +189,14 @@
 	Rate     float64 // calls a second that the destination (the route, where apart) takes from all relays
 }
 
+// Directory knows what every destination has. Where the host has one, lists are
+// told as changes alone, and only what messages come for is kept here.
+type Directory interface {
+	// Endpoints appends the entries of a destination to into, in the order in which
+	// they came on the list; none is Gone.
+	Endpoints(dest int, into []Entry) []Entry
+}
+
 // Outcome is how an attempt or a probe ended.
 type Outcome uint8
 
@@ -274,6 +282,7 @@
 	ActFetch                     // ask once for the whole list
 	ActLog                       // Text
 	ActOutage                    // Endpoint: what Policy.Outage tells of it has changed
+	ActRelease                   // Endpoint: nothing of it is kept here any more; only where a directory is asked
 	numActions                   // count of the kinds
 )
 
--- a/decide/containers.go
+++ b/decide/containers.go
@@ -10,40 +10,56 @@
 // counter counts requests and accepts over a rolling span.
 type counter struct {
 	width    Time
-	bins     [][2]float64
-	at       Time // number of the newest bin
+	size     Time        // count of the bins
+	bins     [][2]uint32 // nil while nothing is in them
+	at       Time        // number of the newest bin
 	sum      [2]float64
 	started  Time
 	hasStart bool
 }
 
 func newCounter(span Time, bins int) counter {
-	return counter{width: span / Time(bins), bins: make([][2]float64, bins)}
+	return counter{width: span / Time(bins), size: Time(bins)}
 }
 
-func (c *counter) roll(now Time) *[2]float64 {
+func (c *counter) roll(now Time) {
 	n := now / c.width
 	if !c.hasStart {
 		c.hasStart, c.started, c.at = true, now, n
 	}
-	size := Time(len(c.bins))
+	if c.bins == nil {
+		c.at = max(c.at, n)
+		return
+	}
 	for ; c.at < n; c.at++ {
-		if n-c.at > size {
-			c.at = n - size
+		if n-c.at > c.size {
+			c.at = n - c.size
 		}
-		old := &c.bins[(c.at+1)%size]
-		c.sum[0] -= old[0]
-		c.sum[1] -= old[1]
-		*old = [2]float64{}
+		old := &c.bins[(c.at+1)%c.size]
+		c.sum[0] -= float64(old[0])
+		c.sum[1] -= float64(old[1])
+		*old = [2]uint32{}
 	}
-	return &c.bins[c.at%size]
 }
 
 func (c *counter) add(now Time, i int) {
-	c.roll(now)[i]++
+	if c.roll(now); c.bins == nil {
+		c.bins = make([][2]uint32, c.size)
+	}
+	c.bins[c.at%c.size][i]++
 	c.sum[i]++
 }
 
+// trim gives the bins back where nothing is in them.
+func (c *counter) trim(now Time) {
+	if c.bins == nil {
+		return
+	}
+	if c.roll(now); c.sum == [2]float64{} {
+		c.bins = nil
+	}
+}
+
 func (c *counter) request(now Time) { c.add(now, 0) }
 func (c *counter) accept(now Time)  { c.add(now, 1) }
 
@@ -55,7 +71,7 @@
 // acceptRate is accepts a second over the span, or since the start while that is shorter.
 func (c *counter) acceptRate(now Time) float64 {
 	c.roll(now)
-	span := min(now-c.started, c.width*Time(len(c.bins)))
+	span := min(now-c.started, c.width*c.size)
 	return c.sum[1] * 1e6 / float64(max(span, c.width*2))
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -56,7 +56,7 @@
 		return nil, err
 	}
 	p := &Policy{rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), eps: map[Endpoint]*endpoint{},
-		msgs: map[uint32]*message{}, lines: map[uint64]*line{}}
+		dests: map[int]*dest{}, msgs: map[uint32]*message{}, lines: map[uint64]*line{}}
 	p.settle(s)
 	return p, nil
 }
@@ -85,9 +85,11 @@
 		}
 	}
 	p.tenants = buckets
-	for _, d := range p.dests {
-		p.touch(d)
+	p.lapse = max(lapseLeast, historySpan, s.RampTime, s.KeepAlive)
+	for i := range s.Classes {
+		p.lapse = max(p.lapse, s.Classes[i].Deadline, s.Classes[i].DedupWindow)
 	}
+	p.touchWaiting()
 }
 
 // Step takes what has happened by now and appends what to do about it.
@@ -123,6 +125,7 @@
 	p.expire()
 	p.shed()
 	p.dispatch()
+	p.tidy(2 + len(events))
 	p.arm()
 	out := p.out
 	p.out = nil
@@ -151,14 +154,15 @@
 				p.leave(ep)
 			}
 			continue
+		case ep == nil && p.directory != nil && p.dests[x.Dest] == nil:
+			continue // it is asked for when a message comes
 		case ep == nil:
 			ep = p.join(x)
 		}
-		ep.state, ep.zone = x.State, x.Zone
-		if p.set.RatesListed && x.Rate > 0 {
-			ep.lane.nominal = x.Rate
+		p.list(ep, x)
+		if p.directory == nil || len(ep.lane.dest.queue) > 0 {
+			p.touch(ep.lane.dest)
 		}
-		p.touch(ep.lane.dest)
 	}
 	if e.List == ListFull || e.List == ListCached {
 		for id, ep := range p.eps { // each leaves by itself: the order does not matter
@@ -169,6 +173,14 @@
 	}
 }
 
+// list takes what an entry says of its endpoint.
+func (p *Policy) list(ep *endpoint, x *Entry) {
+	ep.state, ep.zone, ep.kind, ep.rate = x.State, x.Zone, x.Kind, x.Rate
+	if p.set.RatesListed && x.Rate > 0 {
+		ep.lane.nominal = x.Rate
+	}
+}
+
 // leave lets go of an endpoint, sick or not; calls still out there keep their place in the books. A route
 // with a wait in force stays, so that the wait binds it if it comes back.
 func (p *Policy) leave(ep *endpoint) {
@@ -191,8 +203,9 @@
 	}
 }
 
-func (p *Policy) join(x *Entry) *endpoint {
-	d := p.dest(x.Dest)
+func (p *Policy) join(x *Entry) *endpoint { return p.joinTo(p.dest(x.Dest), x) }
+
+func (p *Policy) joinTo(d *dest, x *Entry) *endpoint {
 	if x.Kind >= 0 && x.Kind < len(p.set.Kinds) {
 		d.kind, d.kindAt = p.set.Kinds[x.Kind], x.Kind
 	}
@@ -226,7 +239,7 @@
 		}
 		c, most = &p.set.Classes[e.Class], p.set.MaxAttempts
 	}
-	m := &message{id: e.Message, key: e.Key, class: c, most: most, dest: p.dest(e.Dest), worth: c.Worth}
+	m := &message{id: e.Message, key: e.Key, class: c, most: most, dest: p.used(e.Dest), worth: c.Worth}
 	m.deadline = p.now + max(e.Left, 0)
 	m.aimAt = m.deadline - c.Deadline + c.Aim
 	if p.set.WorthByWork && e.Work > 0 {
@@ -497,6 +510,7 @@
 			p.giveBack(c.ep)
 		}
 	}
+	p.use(c.ep.lane.dest)
 	p.touch(c.ep.lane.dest)
 	told := c.late && (e.Outcome == TimedOut || e.Outcome == Cancelled)
 	if !c.noted && !told && e.Outcome != NotSent { // the messages of a call share one fate, and count once
@@ -1061,6 +1075,7 @@
 	}
 	if at := p.opens(d); at < math.MaxInt64 && (d.wakeAt <= p.now || at < d.wakeAt) {
 		d.wakeAt = max(at, p.now+p.set.Tick)
+		d.wakes = max(d.wakes, d.wakeAt)
 		p.later.add(d.wakeAt, func() { p.touch(d) })
 	}
 }
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -1,6 +1,9 @@
 package decide
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // What a policy has learned of the destinations, in a form that another process
 // can take up: when a relay is replaced while it runs, its windows, waits and
@@ -21,6 +24,7 @@
 // OutageMemory is an outage of one endpoint, or the ramp after it. Moments are those of
 // the policy's clock; GoodAt is 0 until a call that left after the last failure came back.
 type OutageMemory struct {
+	Dest             int
 	Endpoint         Endpoint
 	Mute             bool
 	FirstBad, BadAt  Time
@@ -29,8 +33,9 @@
 
 // LaneMemory is that of one limit: a destination, or a route where they are apart.
 type LaneMemory struct {
+	Dest                int
 	Endpoints           []EndpointMemory
-	Bins                [][2]float64 // history; the newest is of number At
+	Bins                [][2]uint32 // history; the newest is of number At
 	At, Started         Time
 	Window              float64
 	HalvedAt, WaitUntil Time
@@ -78,9 +83,10 @@
 // Memory tells what is remembered.
 func (p *Policy) Memory() *Memory {
 	m := &Memory{Lat: p.lat.memory(), Tight: slices.Clone(p.tight)}
-	for _, d := range p.dests {
+	for _, id := range slices.Sorted(maps.Keys(p.dests)) {
+		d := p.dests[id]
 		for _, l := range d.lanes {
-			x := LaneMemory{Window: l.window, HalvedAt: l.halvedAt, WaitUntil: l.waitUntil, PauseUntil: l.pauseUntil,
+			x := LaneMemory{Dest: d.id, Window: l.window, HalvedAt: l.halvedAt, WaitUntil: l.waitUntil, PauseUntil: l.pauseUntil,
 				Nominal: l.nominal, Limit: l.limit, Boost: l.boost, Tokens: l.tokens.memory(), FullRun: l.fullRun,
 				FullAt: l.fullAt, Lat: l.lat.memory()}
 			if l.hist.hasStart {
@@ -103,13 +109,16 @@
 	if ep == nil || !ep.sick || ep.state == Gone {
 		return OutageMemory{}, false
 	}
-	return OutageMemory{Endpoint: id, Mute: ep.mute, FirstBad: ep.firstBad, BadAt: ep.badAt, GoodAt: ep.goodAt,
+	return OutageMemory{Dest: ep.lane.dest.id, Endpoint: id, Mute: ep.mute, FirstBad: ep.firstBad, BadAt: ep.badAt, GoodAt: ep.goodAt,
 		GoodSent: ep.goodSent}, true
 }
 
 // resumeOutage goes on with an outage or a ramp that an earlier process of this relay saw. Nothing is saved up
 // in its budget: the call that a process has next to make there is drawn anew, with the same mean.
 func (p *Policy) resumeOutage(o *OutageMemory) {
+	if p.directory != nil {
+		p.use(p.dest(o.Dest))
+	}
 	ep := p.eps[o.Endpoint]
 	if ep == nil || ep.sick {
 		return
@@ -134,6 +143,9 @@
 	copy(p.tight, m.Tight)
 	for i := range m.Lanes {
 		x := &m.Lanes[i]
+		if p.directory != nil && len(x.Endpoints) > 0 {
+			p.use(p.dest(x.Dest))
+		}
 		for j := range x.Endpoints {
 			y := &x.Endpoints[j]
 			ep := p.eps[y.Endpoint]
@@ -150,12 +162,12 @@
 			if l.nominal == 0 { // the list's word is newer
 				l.nominal = x.Nominal
 			}
-			if len(x.Bins) == len(l.hist.bins) {
+			if n := len(x.Bins); Time(n) == l.hist.size || n == 0 && x.At > 0 {
 				l.hist.bins, l.hist.at, l.hist.started, l.hist.hasStart = slices.Clone(x.Bins), x.At, x.Started, true
 				l.hist.sum = [2]float64{}
 				for _, b := range x.Bins {
-					l.hist.sum[0] += b[0]
-					l.hist.sum[1] += b[1]
+					l.hist.sum[0] += float64(b[0])
+					l.hist.sum[1] += float64(b[1])
 				}
 			}
 			p.touch(l.dest)
--- a/decide/state.go
+++ b/decide/state.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 )
 
 // What a policy remembers; nothing is decided here.
@@ -14,7 +13,7 @@
 	rng     *rand.Rand
 	now     Time
 	out     []Action
-	dests   []*dest // by number
+	dests   map[int]*dest
 	eps     map[Endpoint]*endpoint
 	msgs    map[uint32]*message
 	live    []*message // not yet ended
@@ -35,8 +34,9 @@
 	looks   int       // how often it was asked when a destination opens: the dear part of a turn
 	tight   []float64 // share of calls that found no connection, by kind of destination
 	lat     latency   // of all answers
-	strain  float64   // share of refusals in the last calls to lanes that are sparse
-	pressed Time      // since when messages wait and every slot is taken; 0 for not
+	held
+	strain  float64 // share of refusals in the last calls to lanes that are sparse
+	pressed Time    // since when messages wait and every slot is taken; 0 for not
 }
 
 // dest is a destination: a queue, and a lane for each thing that limits it.
@@ -49,12 +49,14 @@
 	flying  int
 	touched bool
 	wakeAt  Time // next moment in wakes
+	wakes   Time // the last of them
 	toldAt  Time // when it was last logged why messages wait here
 	pass    int  // the look that doneAt was found in
 	doneAt  Time // when what waits now will have gone
 	pick    *message
 	pickAt  *endpoint
 	pickVal float64
+	heldDest
 }
 
 // lane is what one limit, one wait and one history bind: a destination, or a route where they are apart.
@@ -81,6 +83,8 @@
 type endpoint struct {
 	id        Endpoint
 	zone      int
+	kind      int // by the list, as its rate
+	rate      float64
 	lane      *lane
 	state     Readiness
 	flying    int
@@ -142,14 +146,6 @@
 
 func (p *Policy) act(a Action) { p.out = append(p.out, a) }
 
-func (p *Policy) dest(id int) *dest {
-	at, ok := slices.BinarySearchFunc(p.dests, id, func(d *dest, id int) int { return d.id - id })
-	if !ok {
-		p.dests = slices.Insert(p.dests, at, &dest{id: id, kind: Kind{Batch: 1}})
-	}
-	return p.dests[at]
-}
-
 // resume gives a message that an earlier process took on its past back. It may have nothing left but its end.
 func (p *Policy) resume(m *message, e *Event) {
 	if m.tries = e.Tries; m.tries > 0 {
