Let a route that comes back to the list inside its told wait be used again

Cause: Policy.leave keeps such a route so that its wait binds it, without a lane in its destination; members then took the entry that brings it back for one that is known, and nothing was ever sent there again until the list dropped it.

Change: an endpoint that has left is no longer known to members; join gives it a new lane and its wait, as it did for one that moved.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -144,6 +144,9 @@
 		x := &e.Entries[i]
 		seen[x.Endpoint] = true
 		ep := p.eps[x.Endpoint]
+		if ep != nil && ep.state == Gone { // a route that left in a wait comes anew, with that wait
+			ep = nil
+		}
 		if ep != nil && ep.lane.dest.id != x.Dest { // it moved: nothing of the old place may be sent to
 			p.leave(ep)
 			ep = nil
--- a/decide/held_test.go
+++ b/decide/held_test.go
@@ -320,3 +320,28 @@
 		t.Errorf("880,000 destinations: %.1f allocations and %d looks, at 1,000 %.1f and %d", many, manyLooks, few, fewLooks)
 	}
 }
+
+// TestRouteComesBackInItsWait: a route that leaves the list while it is told to wait and comes
+// back is sent nothing before that wait is over, and messages afterwards.
+func TestRouteComesBackInItsWait(t *testing.T) {
+	s := one()
+	s.Kinds, s.KeepAlive = []Kind{{Batch: 1, Apart: true}}, 0
+	r := newRig(t, s, ready(1, 10))
+	r.step(r.message(0, 0))
+	e := answer(r.sends[0], Full)
+	e.Wait = 2 * second
+	told := r.now
+	r.step(e)
+	r.step(Event{Kind: EvList, List: ListChange, Entries: []Entry{{Endpoint: 1, State: Gone}}})
+	r.now += second
+	r.step(Event{Kind: EvList, List: ListChange, Entries: []Entry{ready(1, 10)}})
+	for range 100 {
+		r.now += second / 10
+		if r.step(); len(r.sends) > 0 {
+			break
+		}
+	}
+	if len(r.sends) == 0 || r.now < told+e.Wait {
+		t.Errorf("%d sends %d ms after the wait was told", len(r.sends), (r.now-told)/1000)
+	}
+}
