--- a/decide/held.go
+++ b/decide/held.go
@@ -182,3 +182,6 @@
 	}
 	slices.SortFunc(p.touched[at:], func(a, b *dest) int { return cmp.Compare(a.id, b.id) })
 }
+
+// Holds tells whether a destination's state is held.
+func (p *Policy) Holds(dest int) bool { return p.dests[dest] != nil }
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -79,9 +79,10 @@
 	texts  int64             // bytes in the tables, about
 	bare   map[uint32]uint64 // destinations that were named and have no endpoint: 64 in a word
 
-	endpoints    int // in force
-	destinations int // with an endpoint in force
-	named        bool
+	endpoints    int  // in force
+	destinations int  // with an endpoint in force
+	named        bool // a list is in force, or Name was used
+	changing     bool // one is being put in force
 	revision     int64
 
 	drained []uint32 // slots that a list being read says to drain or removes
@@ -277,7 +278,6 @@
 	r := d.at(slot)
 	r.flags |= flagLinked
 	d.endpoints++
-	d.named = true
 	h := d.destHash(r.dest)
 	if last, ok := d.ring(r.dest); ok {
 		l := d.at(last)
@@ -341,11 +341,11 @@
 }
 
 // Named tells whether a list has ever named a destination. Where none has named
-// any, nothing can be said, and it is true.
+// any, or one is just being put in force, nothing can be said, and it is true.
 func (d *Directory) Named(dest int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.named {
+	if !d.named || d.changing {
 		return true
 	}
 	if dest < 0 || dest > math.MaxUint32 {
--- a/internal/membership/read.go
+++ b/internal/membership/read.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"fmt"
 	"io"
 	"runtime"
 
@@ -29,16 +28,26 @@
 func Read(in io.Reader, lenient bool, take func(h *Header, e *Entry) error) (Header, error) {
 	d := jx.Decode(in, readSize)
 	h, err := readList(d, lenient, take)
-	if err != nil {
-		return h, err
+	if err == nil {
+		err = Ended(d)
 	}
-	if d.Next() != jx.Invalid {
-		return h, errors.New("something behind the list's end")
-	}
-	if err := d.Skip(); !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-		return h, fmt.Errorf("something behind the list's end: %v", err)
+	return h, err
+}
+
+// ReadIn reads a list that stands inside of something else as Read does, leniently. It
+// may have no members.
+func ReadIn(d *jx.Decoder, take func(h *Header, e *Entry) error) (Header, error) {
+	return readList(d, true, take)
+}
+
+// Ended makes sure that nothing but space is left.
+func Ended(d *jx.Decoder) error {
+	if d.Next() == jx.Invalid {
+		if err := d.Skip(); errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return nil
+		}
 	}
-	return h, nil
+	return errors.New("something behind the end")
 }
 
 func readList(d *jx.Decoder, lenient bool, take func(h *Header, e *Entry) error) (h Header, err error) {
@@ -77,7 +86,7 @@
 		}
 		return err
 	})
-	if err == nil && !members {
+	if err == nil && !members && !lenient {
 		err = errors.New("no members")
 	}
 	return h, err
@@ -235,3 +244,14 @@
 	}
 	return n, err
 }
+
+// Receiver takes one list as it is read. One of End and Abort is the last that it hears.
+type Receiver interface {
+	// Entry takes an entry, whose bytes are good until it returns. bind says that the
+	// list is no older than the one in force, so that word of a drain in it counts.
+	Entry(e *Entry, bind bool) error
+	// End: the list was read whole and is sound.
+	End(revision int64, complete bool)
+	// Abort: it counts for nothing.
+	Abort()
+}
--- a/internal/membership/stage.go
+++ b/internal/membership/stage.go
@@ -139,6 +139,7 @@
 func (s *Stage) Commit(revision int64, complete bool) *Update {
 	s.d.mu.Lock()
 	defer s.d.mu.Unlock()
+	s.d.changing = true
 	return &Update{Revision: revision, Complete: complete, stage: s, limit: s.d.slots}
 }
 
@@ -190,6 +191,7 @@
 		return into, false
 	}
 	u.over = true
+	d.changing, d.named = false, d.named || d.endpoints > 0
 	d.revision = u.Revision
 	<-d.busy
 	return into, true
--- a/internal/relay/batch_test.go
+++ b/internal/relay/batch_test.go
@@ -198,9 +198,9 @@
 		}
 	}
 	x := Member{ID: "s-1", HostPort: addr, Flavor: "bulk", Locality: "a", Cell: 7, Phase: phaseUp}
-	r.list(&List{Complete: true, Members: []Member{x}}, decide.ListFull)
+	r.told(t, &List{Complete: true, Members: []Member{x}})
 	r.events = nil
-	ep := r.endpoints["s-1"]
+	ep := r.named("s-1")
 	var msgs []*message
 	for _, id := range []string{"short", "off", "last"} {
 		m := r.newMessage(&record{ID: id, Class: "plain", Dest: 7})
@@ -259,8 +259,8 @@
 	r := testRelay(t)
 	r.ctx = t.Context()
 	r.wal = &wal{in: newMailbox[walOp]()}
-	r.list(&List{Complete: true, Members: []Member{{ID: "s-1", HostPort: "127.0.0.1:1", Flavor: "bulk", Locality: "a", Cell: 7, Phase: phaseUp}}}, decide.ListFull)
-	num := r.endpoints["s-1"].num
+	r.told(t, &List{Complete: true, Members: []Member{{ID: "s-1", HostPort: "127.0.0.1:1", Flavor: "bulk", Locality: "a", Cell: 7, Phase: phaseUp}}})
+	num := r.named("s-1").num
 	var qs []*request
 	at := r.now() + 1e9
 	for _, id := range []string{"a", "b", "c"} {
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -226,7 +226,7 @@
 	}
 	q.left = time.Duration(ms * float64(time.Millisecond))
 	q.rec.Deadline = now.Add(q.left - min(underWay, q.left/underWayPart)).UnixMicro()
-	dest, err := strconv.ParseUint(have["dest"], 10, 16)
+	dest, err := strconv.ParseUint(have["dest"], 10, 32)
 	if err != nil {
 		return nil, fmt.Errorf("dest: %.32q is no destination", have["dest"])
 	}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -3,14 +3,19 @@
 import (
 	"bytes"
 	"cmp"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
 
+	"github.com/go-faster/jx"
+
 	"troutusher/decide"
+	"troutusher/internal/membership"
 	"troutusher/internal/settings"
 	"troutusher/internal/wire"
 )
@@ -33,14 +38,15 @@
 	SocketFD  int    // the clients' listener, held by the platform; -1 for none
 	Seed      uint64
 	Limits    Limits
-	Known     *List // the list as this relay last had it, maybe old
+	Known     *membership.Directory // the list as this relay last had it, maybe old; nil for none
+	KnownErr  error                 // why there is none though one was given
 	Policy    decide.Settings
 	zones     map[string]int
 	kinds     map[string]int
 	classes   map[string]int
 	tenants   map[string]int
 	loads     []string       // fields of a load report
-	text      map[string]any // the file, but for the list in it
+	text      map[string]any // the file, but for the list in it, which comes and goes
 }
 
 // LoadConfig reads the file that ROUTER_CONFIG names. What the environment
@@ -60,13 +66,114 @@
 	if path == "" {
 		return nil, errors.New("ROUTER_CONFIG: not set")
 	}
-	text, err := os.ReadFile(path)
+	f, err := os.Open(path)
 	if err != nil {
 		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
-	return parseConfig(text, getenv, again)
+	defer f.Close()
+	return loadConfig(f, getenv, again)
+}
+
+// loadConfig reads a configuration, and the list in it where this is not done again.
+// That list may be far longer than all else: it is read as a stream, straight into
+// its directory.
+func loadConfig(in io.ReadSeeker, getenv func(string) string, again bool) (*Config, error) {
+	x := &configReader{passOver: again}
+	if err := x.read(in); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	c, err := parseConfig(append(x.text, '}'), getenv, again)
+	if err != nil || x.known == nil {
+		return c, err
+	}
+	if x.full != nil && directoryLimit(&c.Limits) > directoryLimit(&x.limits) { // they stood behind the list
+		if _, err := in.Seek(0, io.SeekStart); err != nil {
+			return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+		}
+		x = &configReader{limits: c.Limits}
+		if err := x.read(in); err != nil {
+			return nil, fmt.Errorf("config: %w", err)
+		}
+	}
+	if x.full != nil { // a relay can start without
+		c.KnownErr = x.full
+		return c, nil
+	}
+	c.Known = x.known
+	c.Known.SetLimit(directoryLimit(&c.Limits))
+	return c, nil
+}
+
+// configReader splits a configuration.
+type configReader struct {
+	passOver bool   // the list
+	text     []byte // all but the list, without the end
+	limits   Limits // as far as they are known
+	known    *membership.Directory
+	full     error // why the list is not there whole
+}
+
+func (x *configReader) read(in io.Reader) error {
+	d := jx.Decode(in, 64<<10)
+	x.text = []byte{'{'}
+	err := d.ObjBytes(func(d *jx.Decoder, key []byte) error {
+		if string(key) == "known" {
+			return x.readKnown(d)
+		}
+		if len(x.text) > 1 {
+			x.text = append(x.text, ',')
+		}
+		name, err := json.Marshal(string(key))
+		if err != nil {
+			return err
+		}
+		raw, err := d.Raw()
+		if err == nil && string(key) == "limits" {
+			json.Unmarshal(raw, &x.limits) // what is wrong with them is told later
+		}
+		x.text = append(append(append(x.text, name...), ':'), raw...)
+		return err
+	})
+	if err == nil {
+		err = membership.Ended(d)
+	}
+	return err
+}
+
+func (x *configReader) readKnown(d *jx.Decoder) error {
+	switch next := d.Next(); {
+	case next == jx.Null || next == jx.Object && x.passOver:
+		return d.Skip()
+	case next != jx.Object:
+		return errors.New("known: wrong type")
+	}
+	x.limits.fill()
+	x.known, x.full = membership.NewDirectory(directoryLimit(&x.limits)), nil
+	stage, err := x.known.Stage(context.Background())
+	if err != nil {
+		return err
+	}
+	h, err := membership.ReadIn(d, func(_ *membership.Header, e *membership.Entry) error {
+		if x.full == nil {
+			_, x.full = stage.Entry(e, false)
+		}
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	if x.full != nil {
+		stage.Abort()
+		return nil
+	}
+	u := stage.Commit(h.Revision, true)
+	for done := false; !done; {
+		_, done = u.Apply(listChunk, nil)
+	}
+	return nil
 }
 
+// parseConfig reads a configuration but for its list.
 func parseConfig(text []byte, getenv func(string) string, again bool) (*Config, error) {
 	var f struct {
 		Name      string          `json:"name"`
@@ -76,7 +183,6 @@
 		Ops       string          `json:"ops"`
 		Seed      json.RawMessage `json:"seed"`
 		Limits    Limits          `json:"limits"`
-		Known     *List           `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &f); err != nil {
@@ -86,7 +192,7 @@
 		}
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, State: f.State, Ops: f.Ops, Limits: f.Limits, Known: f.Known}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, State: f.State, Ops: f.Ops, Limits: f.Limits}
 	for _, v := range []struct {
 		env, key string
 		to       *string
@@ -129,7 +235,6 @@
 	if err := json.Unmarshal(text, &c.text); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	delete(c.text, "known") // a list comes and goes
 	return c, c.read(f.Settings)
 }
 
--- a/internal/relay/config_test.go
+++ b/internal/relay/config_test.go
@@ -33,13 +33,13 @@
 			if text == good {
 				t.Fatal("nothing was changed")
 			}
-			_, err := parseConfig([]byte(text), func(string) string { return "" }, false)
+			_, err := loadConfig(strings.NewReader(text), func(string) string { return "" }, false)
 			if err == nil || !strings.Contains(err.Error(), x.key) {
 				t.Errorf("error %v, want one that names %s", err, x.key)
 			}
 		})
 	}
-	c, err := parseConfig([]byte(good), func(k string) string { return map[string]string{"ROUTER_STATE": "/y"}[k] }, false)
+	c, err := loadConfig(strings.NewReader(good), func(k string) string { return map[string]string{"ROUTER_STATE": "/y"}[k] }, false)
 	if err != nil || c.State != "/y" || c.Seed != 0x1f || c.Policy.Slots != 16 || c.Policy.Streams != 1 || c.zones["b"] != 1 || c.classes["once"] != 2 {
 		t.Errorf("got %+v, %v", c, err)
 	}
--- a/internal/relay/crossing_test.go
+++ b/internal/relay/crossing_test.go
@@ -344,10 +344,10 @@
 	acme, other := `{"name":"acme","quota_per_s":1000,"share":1}`, `{"name":"other","quota_per_s":1,"share":1}`
 	before := start(settings("", acme, `"a","b"`))
 	keyed := before.cfg.Policy.Classes[before.cfg.classes["keyed"]]
-	before.list(&List{Complete: true, Members: []Member{{ID: "s-1", HostPort: "127.0.0.1:1", Locality: "b", Flavor: "k", Cell: 7, Phase: phaseUp}}}, decide.ListFull)
+	before.told(t, &List{Complete: true, Members: []Member{{ID: "s-1", HostPort: "127.0.0.1:1", Locality: "b", Flavor: "k", Cell: 7, Phase: phaseUp}}})
 	rec := &record{Kind: recTaken, ID: "m", Class: "keyed", Tenant: "acme", Key: "k", Dest: 7, Rules: &keyed, Most: 3,
 		Deadline: time.Now().Add(testLimit).UnixMicro()}
-	rec.fold(&record{Kind: recAttempt, At: time.Now().UnixMicro(), Floor: before.endpoints["s-1"].floor})
+	rec.fold(&record{Kind: recAttempt, At: time.Now().UnixMicro(), Floor: before.named("s-1").floor})
 	text, err := rec.encode(nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -16,63 +15,15 @@
 	"strconv"
 	"sync/atomic"
 	"time"
-)
 
-// Phases of a member.
-const (
-	phaseUp       = "up"
-	phaseDraining = "draining"
-	phaseRemoved  = "removed"
+	"troutusher/internal/membership"
 )
 
 // Member is an endpoint in discovery's list.
-type Member struct {
-	ID       string  `json:"id"`
-	HostPort string  `json:"host_port"`
-	Locality string  `json:"locality"`
-	Flavor   string  `json:"flavor"`
-	Cell     int     `json:"cell"`
-	Phase    string  `json:"phase"`
-	Size     float64 `json:"size"`
-}
-
-func (m *Member) check() error {
-	switch {
-	case m.ID == "":
-		return errors.New("member without id")
-	case m.Phase != phaseUp && m.Phase != phaseDraining && m.Phase != phaseRemoved:
-		return fmt.Errorf("member %s: unknown phase %q", m.ID, m.Phase)
-	case m.Phase == phaseRemoved:
-		return nil
-	}
-	if _, _, err := net.SplitHostPort(m.HostPort); err != nil {
-		return fmt.Errorf("member %s: host_port: %w", m.ID, err)
-	}
-	return nil
-}
+type Member = membership.Member
 
 // List is discovery's list, or what changed in it.
-type List struct {
-	Revision int64    `json:"revision"`
-	Complete bool     `json:"complete"`
-	Members  []Member `json:"members"`
-}
-
-func parseList(text []byte) (*List, error) {
-	l := &List{}
-	if err := json.Unmarshal(text, l); err != nil {
-		return nil, err
-	}
-	if l.Members == nil {
-		return nil, errors.New("no members")
-	}
-	for i := range l.Members {
-		if err := l.Members[i].check(); err != nil {
-			return nil, err
-		}
-	}
-	return l, nil
-}
+type List = membership.List
 
 const (
 	listPath    = "/registry/instances"
@@ -88,7 +39,7 @@
 	discDue     = 6 * time.Second         // the same after the last word of a watch that has fallen silent
 	discRest    = 2900 * time.Millisecond // no pause is longer than this by half: with an answer's time it is inside discDue
 	askMost     = 3                       // requests without an answer that are open beside each other
-	listMost    = 4 << 20                 // bytes of a list or a line
+	answerSkip  = 4 << 20                 // bytes of an answer to a notice that are read past
 )
 
 // newPlainClient makes a client for the agent on this machine: few kept
@@ -118,7 +69,7 @@
 type discovery struct {
 	addr    string
 	base    string           // of the address that is watched now
-	known   *List            // had before it was first asked
+	known   int64            // the revision of a list had before it was first asked; negative for none
 	moves   *mailbox[string] // further addresses, each in the place of the one before
 	log     *slog.Logger
 	client  *http.Client
@@ -130,20 +81,23 @@
 	served  time.Time     // since when the watch is answered
 	failed  int           // refusals in a row
 	mute    int           // requests in a row that had no answer
-	news    func(*List)   // called in order
+	begin   beginList
 }
 
-// newDiscovery makes the discovery of one of so many relays; known is the list
-// that this one has already, or nil. Where relays are many, what each does by
+// beginList begins a list. It returns once the one before it is in force, or with ctx's end.
+type beginList func(ctx context.Context) (membership.Receiver, error)
+
+// newDiscovery makes the discovery of one of so many relays; known is the
+// revision of the list that this one has already, or negative. Where relays are many, what each does by
 // itself adds up: all start or lose their watch at one moment, and if each asks
 // at once, or at a steady pace, or gives an answer up that is still in the
 // queue, discovery stays overloaded for good. A round is the time that it takes
 // for one request of each.
-func newDiscovery(addr string, relays int, known *List, log *slog.Logger, news func(*List)) *discovery {
+func newDiscovery(addr string, relays int, known int64, log *slog.Logger, begin beginList) *discovery {
 	all := time.Duration(relays) * discTurn
 	answer := min(max(all, discAnswer), discQueue)
 	return &discovery{addr: addr, known: known, moves: newMailbox[string](), log: log, client: newPlainClient(4, 0),
-		silence: discSilence, answer: answer, round: min(max(all, discPause), discRound), news: news}
+		silence: discSilence, answer: answer, round: min(max(all, discPause), discRound), begin: begin}
 }
 
 // pause is how long to leave discovery alone after so many failures in a row;
@@ -173,8 +127,8 @@
 	d.base = "http://" + addr
 	defer d.client.CloseIdleConnections()
 	rev, whole := int64(0), false
-	if d.known != nil && len(d.known.Members) > 0 {
-		rev, whole, d.known = d.known.Revision, true, nil
+	if d.known >= 0 {
+		rev, whole, d.known = d.known, true, -1
 	}
 	d.due = time.Now().Add(discTold)
 	d.failed, d.mute = 0, 0
@@ -182,18 +136,19 @@
 	for ctx.Err() == nil {
 		heard, err := false, error(nil)
 		if !whole {
-			var l *List
-			if l, err = d.fetch(ctx); err == nil && l.Revision < rev {
+			var l *fetched
+			if l, err = d.fetch(ctx, rev); err == nil && l.Revision < rev {
 				if older.IsZero() {
 					older = time.Now()
 				}
 				if time.Since(older) < discTold { // later on it is taken for one that counts anew
 					err = fmt.Errorf("discovery: %w", errOlder)
+					l.to.Abort()
 				}
 			}
 			if err == nil {
 				rev, whole, older = l.Revision, true, time.Time{}
-				d.news(l)
+				l.to.End(l.Revision, true)
 			}
 		}
 		if whole {
@@ -366,35 +321,45 @@
 	}
 }
 
-// fetch asks for the whole list.
-func (d *discovery) fetch(ctx context.Context) (*List, error) {
-	text, err := d.ask(ctx)
-	if err != nil {
-		return nil, fmt.Errorf("discovery: list: %w", err)
-	}
-	l, err := parseList(text)
-	if err == nil && !l.Complete {
-		err = errors.New("the whole list was asked for, a part came")
-	}
-	if err != nil {
-		return nil, fmt.Errorf("discovery: %w", err)
-	}
-	return l, nil
+// fetched is a whole list that was read and is neither ended nor aborted.
+type fetched struct {
+	membership.Header
+	to membership.Receiver
 }
 
-func (d *discovery) ask(ctx context.Context) ([]byte, error) {
+// fetch asks for the whole list; rev is that of the one that is known. It has as long as
+// it goes on.
+func (d *discovery) fetch(ctx context.Context, rev int64) (*fetched, error) {
 	o, err := d.open(ctx, d.base+listPath)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("discovery: list: %w", err)
 	}
 	defer o.end()
+	to, err := d.begin(o.ctx)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: list: %w", err)
+	}
 	quiet := time.AfterFunc(d.silence, func() { o.stop(errSilent) })
 	defer quiet.Stop()
-	text, err := io.ReadAll(io.LimitReader(o.resp.Body, listMost))
+	h, err := membership.Read(membership.Paced(o.resp.Body, func() { quiet.Reset(d.silence) }), false, binding(to, rev))
 	if cause := context.Cause(o.ctx); err != nil && cause != nil {
 		err = cause
 	}
-	return text, err
+	if err == nil && !h.Complete {
+		err = errors.New("the whole list was asked for, a part came")
+	}
+	if err != nil {
+		to.Abort()
+		return nil, fmt.Errorf("discovery: list: %w", err)
+	}
+	return &fetched{h, to}, nil
+}
+
+// binding hands entries on. Word of a drain binds in a list that is no older than rev.
+func binding(to membership.Receiver, rev int64) func(*membership.Header, *membership.Entry) error {
+	return func(h *membership.Header, e *membership.Entry) error {
+		return to.Entry(e, h.HasRevision && h.Revision >= rev)
+	}
 }
 
 // watch follows the changes after a version. whole tells whether the list is
@@ -413,49 +378,45 @@
 	d.served = time.Now()
 	quiet := time.AfterFunc(d.silence, func() { o.stop(errSilent) })
 	defer quiet.Stop()
-	lines := bufio.NewScanner(o.resp.Body)
-	lines.Buffer(make([]byte, 0, 4096), listMost)
-	lines.Split(wholeLines)
-	var object []byte // the lines of one that comes indented, so far
-	for rev = from; lines.Scan(); {
+	lines := membership.NewLines(o.resp.Body, func() {
 		quiet.Reset(d.silence)
 		d.due = time.Now().Add(discDue)
-		first := !heard
-		if heard = true; first {
+		if !heard {
 			d.log.Info("discovery: watching", "revision", from)
 		}
-		text := bytes.TrimRight(lines.Bytes(), " \t\r")
-		if len(object) > 0 || string(text) == "{" {
-			if len(object) > 0 && (len(text) == 0 || text[0] == '{') || len(object)+len(text) > listMost {
-				return rev, false, heard, errors.New("discovery: a list without its end")
-			}
-			object = append(object, text...)
-			if string(text) != "}" {
-				continue
-			}
-			text, object = object, nil
+		heard = true
+	})
+	for rev = from; err == nil; {
+		first := !heard
+		var list bool
+		if list, err = lines.Next(); err != nil {
+			break
 		}
-		if text = bytes.TrimSpace(text); len(text) == 0 {
-			if first { // nothing is new, which the start waits to hear
-				d.news(&List{Revision: rev})
-			}
+		if !list && !first { // nothing is new, which only the start waits to hear
 			continue
 		}
-		l, err := parseList(text)
-		if err == nil && l.Revision < rev {
+		to, err := d.begin(o.ctx)
+		if err != nil {
+			return rev, true, heard, fmt.Errorf("discovery: %w", err)
+		}
+		quiet.Reset(d.silence) // it may have waited for the list before this one
+		if !list {
+			to.End(rev, false)
+			continue
+		}
+		h, err := membership.Read(lines, false, binding(to, rev))
+		if err == nil && h.Revision < rev {
 			err = errOlder
 		}
-		if err != nil {
+		if err == nil {
+			rev = h.Revision
+			to.End(h.Revision, h.Complete)
+			continue
+		}
+		to.Abort()
+		if torn := lines.Torn(); torn == nil {
 			return rev, false, heard, fmt.Errorf("discovery: %w", err)
 		}
-		rev = l.Revision
-		d.news(l)
-	}
-	if err = lines.Err(); errors.Is(err, bufio.ErrTooLong) {
-		return rev, false, heard, fmt.Errorf("discovery: %w", err)
-	}
-	if err == nil {
-		err = io.EOF
 	}
 	if cause := context.Cause(o.ctx); cause != nil {
 		err = cause
@@ -463,15 +424,6 @@
 	return rev, true, heard, fmt.Errorf("discovery: %w", err)
 }
 
-// wholeLines splits off lines, and leaves out one that was cut: the next watch brings
-// it again.
-func wholeLines(data []byte, _ bool) (advance int, line []byte, err error) {
-	if i := bytes.IndexByte(data, '\n'); i >= 0 {
-		return i + 1, data[:i], nil
-	}
-	return 0, nil, nil
-}
-
 // Words for the ends that a notice tells.
 const (
 	endGivenUp    = "given_up"
@@ -706,7 +658,7 @@
 		return 0, fmt.Errorf("notices: %w", err)
 	}
 	defer resp.Body.Close()
-	io.Copy(io.Discard, io.LimitReader(resp.Body, listMost))
+	io.Copy(io.Discard, io.LimitReader(resp.Body, answerSkip))
 	if resp.StatusCode != http.StatusNoContent {
 		return resp.StatusCode, fmt.Errorf("notices: status %d", resp.StatusCode)
 	}
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -16,12 +16,15 @@
 	"time"
 )
 
+// The phases of a member.
+const phaseUp, phaseDraining, phaseRemoved = "up", "draining", "removed"
+
 // watchList runs discovery and hands on what it hears.
 func watchList(t *testing.T, d *fakeDiscovery, silence time.Duration) chan *List {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	news, done := make(chan *List, 64), make(chan struct{})
-	x := newDiscovery(d.addr(), 3, nil, quietLog(), func(l *List) { news <- l })
+	x := newDiscovery(d.addr(), 3, -1, quietLog(), collect(func(l *List) { news <- l }))
 	x.silence = silence
 	go func() { defer close(done); x.run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
@@ -91,7 +94,7 @@
 // their number, and a small fleet still asks soon.
 func TestFleetAsksSpreadOut(t *testing.T) {
 	for _, relays := range []int{3, 80, 300, 3000} {
-		d := newDiscovery("127.0.0.1:1", relays, nil, quietLog(), nil)
+		d := newDiscovery("127.0.0.1:1", relays, -1, quietLog(), nil)
 		rng := rand.New(rand.NewPCG(1, 2))
 		span := 10 * discTurn
 		asked := map[time.Duration]int{} // by span
@@ -112,10 +115,10 @@
 			}
 		}
 	}
-	if d := newDiscovery("127.0.0.1:1", 300, nil, quietLog(), nil); d.pause(1, 0.99) >= discTold || d.pause(6, 0) < discRest/2 {
+	if d := newDiscovery("127.0.0.1:1", 300, -1, quietLog(), nil); d.pause(1, 0.99) >= discTold || d.pause(6, 0) < discRest/2 {
 		t.Errorf("300 relays: first pause up to %v, a later one from %v", d.pause(1, 0.99), d.pause(6, 0))
 	}
-	if d := newDiscovery("127.0.0.1:1", 3, nil, quietLog(), nil); d.pause(1, 0.99) > 2*discPause || d.answer != discAnswer {
+	if d := newDiscovery("127.0.0.1:1", 3, -1, quietLog(), nil); d.pause(1, 0.99) > 2*discPause || d.answer != discAnswer {
 		t.Errorf("three relays: first pause up to %v, answer within %v", d.pause(1, 0.99), d.answer)
 	}
 }
@@ -126,8 +129,7 @@
 	d := newFakeDiscovery(t, Member{ID: "s-1", HostPort: "127.0.0.1:1", Phase: phaseUp})
 	ctx, cancel := context.WithCancel(context.Background())
 	news, done := make(chan *List, 64), make(chan struct{})
-	x := newDiscovery(d.addr(), 3, &List{Revision: 7, Complete: true, Members: d.list.Members}, quietLog(),
-		func(l *List) { news <- l })
+	x := newDiscovery(d.addr(), 3, 7, quietLog(), collect(func(l *List) { news <- l }))
 	go func() { defer close(done); x.run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
 	if l := next(t, news); l.Complete || len(l.Members) > 0 || l.Revision != 7 {
@@ -146,8 +148,7 @@
 	d := newFakeDiscovery(t, Member{ID: "s-1", HostPort: "127.0.0.1:1", Phase: phaseUp})
 	ctx, cancel := context.WithCancel(context.Background())
 	news, done := make(chan *List, 64), make(chan struct{})
-	x := newDiscovery(d.addr(), 300, &List{Revision: 7, Complete: true, Members: d.list.Members}, quietLog(),
-		func(l *List) { news <- l })
+	x := newDiscovery(d.addr(), 300, 7, quietLog(), collect(func(l *List) { news <- l }))
 	x.round = 1000 * time.Hour
 	go func() { defer close(done); x.run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -37,8 +37,8 @@
 	loadMost    = 1e6              // no figure of a load report is higher
 )
 
-// endpoint is one address of a destination, with its kept-alive connections.
-// The loop owns it; calls use its address as it was when they began.
+// endpoint is one address of a destination, with its kept-alive connections. There
+// is one as long as something is known, told or out of it. The loop owns it; calls use its address as it was when they began.
 type endpoint struct {
 	id        string
 	num       decide.Endpoint
@@ -53,6 +53,8 @@
 	answerAt  decide.Time // when it last answered at all
 	home      *home
 	calls     map[*call]bool
+	released  bool // the policy keeps nothing of it
+	leaving   bool // it is among those looked at for whether they can be forgotten
 }
 
 // suspect books how a call went and reports whether the endpoint's idle
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -260,11 +260,11 @@
 		for i, cell := range []int{1, 1, 2} {
 			l.Members = append(l.Members, Member{ID: fmt.Sprint("s-", i), HostPort: "127.0.0.1:1", Flavor: "k", Cell: cell, Phase: phaseUp, Size: 5})
 		}
-		r.list(l, decide.ListFull)
+		r.told(t, l)
 		var calls []*call
 		for i := range l.Members {
 			c := newTestCall()
-			c.ep = r.endpoints[fmt.Sprint("s-", i)]
+			c.ep = r.named(fmt.Sprint("s-", i))
 			c.ep.calls[c] = true
 			calls = append(calls, c)
 		}
--- a/internal/relay/follow_test.go
+++ b/internal/relay/follow_test.go
@@ -21,14 +21,14 @@
 		r.log = slog.New(slog.NewTextHandler(&out, &slog.HandlerOptions{Level: level}))
 		r.ctx = t.Context()
 		r.wal = &wal{in: newMailbox[walOp]()}
-		r.list(&List{Complete: true, Members: []Member{{ID: "s-1", HostPort: "127.0.0.1:1", Flavor: "k", Locality: "a", Cell: 7, Phase: phaseUp}}}, decide.ListFull)
+		r.told(t, &List{Complete: true, Members: []Member{{ID: "s-1", HostPort: "127.0.0.1:1", Flavor: "k", Locality: "a", Cell: 7, Phase: phaseUp}}})
 		for _, what := range []decide.Outcome{decide.Delivered, decide.Errored} {
 			q := &request{rec: &record{ID: map[decide.Outcome]string{decide.Delivered: "good", decide.Errored: "bad"}[what],
 				Class: "plain", Dest: 7, Rules: &decide.Class{}}}
 			m := r.newMessage(q.rec)
 			r.waiting[q] = m
 			r.said(q, true)
-			r.act(r.now(), &decide.Action{Kind: decide.ActSend, Message: m.num, Endpoint: r.endpoints["s-1"].num, At: r.now() + 1e9})
+			r.act(r.now(), &decide.Action{Kind: decide.ActSend, Message: m.num, Endpoint: r.named("s-1").num, At: r.now() + 1e9})
 			c := r.forming[0]
 			r.gathered()
 			r.returned(c, nil, &outcome{what: what, settled: what == decide.Delivered, err: errors.New("told by the test")})
--- a/internal/relay/growth_test.go
+++ b/internal/relay/growth_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"troutusher/decide"
+	"troutusher/internal/membership"
 )
 
 // testRelay is a loop without its sockets; its clock is moved by hand.
@@ -17,10 +18,37 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &Relay{cfg: cfg, log: quietLog(), policy: policy, in: newMailbox[happening](), began: time.Now(),
+	r := &Relay{cfg: cfg, log: quietLog(), policy: policy, in: newMailbox[happening](), began: time.Now(),
 		msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*request]*message{},
-		endpoints: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, named: map[int]bool{},
+		endpoints: map[decide.Endpoint]*endpoint{}, directory: membership.NewDirectory(0),
 		pool: newPool(time.Second, time.Second, 8)}
+	policy.Use(r)
+	return r
+}
+
+// told has the relay take a list that discovery has read.
+func (r *Relay) told(t *testing.T, l *List) {
+	t.Helper()
+	to, err := r.begin(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range l.Members {
+		if err := to.Entry(l.Members[i].Entry(), true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	to.End(l.Revision, l.Complete)
+	for _, h := range r.in.takeAll(nil) {
+		r.take(h)
+	}
+	r.applyAll()
+}
+
+// named gives the loop's endpoint under an id; nil where no list has it.
+func (r *Relay) named(id string) *endpoint {
+	e, _ := r.directory.Find(id)
+	return r.endpoint(decide.Endpoint(e.Number))
 }
 
 // Guards the memory on a long day: endpoints come under ever new ids, also at
@@ -31,31 +59,33 @@
 	up := func(i int) Member {
 		return Member{ID: fmt.Sprintf("s-%d", i), HostPort: fmt.Sprintf("127.0.0.1:%d", 7000+i%3), Cell: i % 3, Phase: phaseUp, Size: 5}
 	}
-	r.list(&List{Complete: true, Members: []Member{up(0), up(1), up(2)}}, decide.ListFull)
+	r.told(t, &List{Complete: true, Members: []Member{up(0), up(1), up(2)}})
 	r.step()
-	waits := r.endpoints["s-1"]
+	waits := r.named("s-1")
 	waits.waitUntil = r.now() + decide.Time(1800e6)
-	most := 0
+	most, size := 0, r.directory.Size()
 	for i := 3; i < 3000; i++ {
-		old := r.endpoints[up(i-3).ID]
+		old := r.named(up(i - 3).ID)
 		leaves := up(i - 3)
 		leaves.Phase = phaseRemoved
-		r.list(&List{Members: []Member{leaves, up(i)}}, decide.ListChange)
+		r.told(t, &List{Members: []Member{leaves, up(i)}})
 		r.step()
-		fresh := r.endpoints[up(i).ID]
+		fresh := r.named(up(i).ID)
 		if fresh.home == old.home || fresh.num == old.num || !old.home.closed {
 			t.Fatalf("%s inherits from %s", fresh.id, old.id)
 		}
 		r.began = r.began.Add(-time.Second)
 		most = max(most, len(r.endpoints))
 	}
-	if most > 20 || len(r.byNum) != len(r.endpoints) {
-		t.Errorf("%d endpoints kept, %d by number", most, len(r.byNum))
+	if listed, _ := r.directory.Len(); most > 20 || listed != 3 || r.directory.Size() > size+16<<10 {
+		t.Errorf("%d endpoints kept, %d listed, %d bytes", most, listed, r.directory.Size())
 	}
-	if len(r.named) != 3 {
-		t.Errorf("%d destinations named", len(r.named))
+	for dest := range 6 {
+		if r.directory.Named(dest) != (dest < 3) {
+			t.Errorf("destination %d is named: %v", dest, dest >= 3)
+		}
 	}
-	if r.endpoints["s-1"] != nil {
+	if r.named("s-1") != nil || r.endpoints[waits.num] != nil {
 		t.Error("kept though its wait is over")
 	}
 }
@@ -79,9 +109,9 @@
 		t.Errorf("before any list: %q", s)
 	}
 	m := Member{ID: "s-1", HostPort: "127.0.0.1:7000", Cell: 1, Phase: phaseUp, Size: 5}
-	r.list(&List{Complete: true, Members: []Member{m}}, decide.ListFull)
+	r.told(t, &List{Complete: true, Members: []Member{m}})
 	m.Phase = phaseRemoved
-	r.list(&List{Members: []Member{m}}, decide.ListChange)
+	r.told(t, &List{Members: []Member{m}})
 	if s := put("known", 1); s != "held" {
 		t.Errorf("gone for now: %q", s)
 	}
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"troutusher/decide"
+	"troutusher/internal/membership"
 )
 
 // An upgrade: a new process takes over from an old one that still serves. The
@@ -263,33 +264,41 @@
 // takeUp books what the old process remembers and the calls that it has out.
 func (r *Relay) takeUp(e *estate, p *peer) map[string]*call {
 	num := func(old decide.Endpoint) decide.Endpoint {
-		if ep := r.endpoints[e.Names[old]]; ep != nil {
-			return ep.num
+		if id, ok := e.Names[old]; ok {
+			x, _ := r.directory.Find(id)
+			return decide.Endpoint(x.Number)
 		}
 		return 0
 	}
 	if e.Memory != nil {
 		for i := range e.Memory.Lanes {
-			for j := range e.Memory.Lanes[i].Endpoints {
-				x := &e.Memory.Lanes[i].Endpoints[j]
+			l := &e.Memory.Lanes[i]
+			for j := range l.Endpoints {
+				x := &l.Endpoints[j]
 				x.Endpoint = num(x.Endpoint)
+				if at, ok := r.directory.Get(membership.Number(x.Endpoint)); ok {
+					l.Dest = at.Dest // which an older process does not say
+				}
 			}
+			l.Endpoints = slices.DeleteFunc(l.Endpoints, func(x decide.EndpointMemory) bool { return x.Endpoint == 0 })
 		}
 		r.events = append(r.events, decide.Event{Kind: decide.EvMemory, Memory: e.Memory})
 	}
 	for id, until := range e.Waits {
-		if ep := r.endpoints[id]; ep != nil {
-			ep.waitUntil = max(ep.waitUntil, until)
+		if x, ok := r.directory.Find(id); ok {
+			ep := r.endpoint(decide.Endpoint(x.Number))
+			ep.waitUntil, ep.released = max(ep.waitUntil, until), true
+			r.toForget(ep)
 		}
 	}
 	calls, byID := map[uint64]*call{}, map[string]*call{}
 	for _, x := range e.Calls {
 		c := calls[x.Call]
 		if c == nil {
-			ep := r.byNum[num(x.Endpoint)]
+			ep := r.endpoint(num(x.Endpoint))
 			if ep == nil { // off the list by now
-				r.lastEnd++
-				ep = &endpoint{num: r.lastEnd, gone: true, calls: map[*call]bool{}}
+				r.madeUp++
+				ep = &endpoint{num: madeUp | r.madeUp, gone: true, calls: map[*call]bool{}}
 			}
 			c = &call{ep: ep, written: true, stop: func(error) { p.say(hand{Cancel: x.ID}) }}
 			c.stage.Store(callSending)
@@ -510,10 +519,15 @@
 func (r *Relay) estate() *estate {
 	e := &estate{Log: filepath.Base(r.wal.path), Names: map[decide.Endpoint]string{}, Memory: r.policy.Memory(),
 		Waits: map[string]decide.Time{}}
-	for id, ep := range r.endpoints {
-		e.Names[ep.num] = id
+	for _, l := range e.Memory.Lanes {
+		for _, x := range l.Endpoints {
+			e.Names[x.Endpoint], _ = r.directory.Text(membership.Number(x.Endpoint))
+		}
+	}
+	for num, ep := range r.endpoints {
+		e.Names[num] = ep.id
 		if ep.waitUntil > r.now() {
-			e.Waits[id] = ep.waitUntil
+			e.Waits[ep.id] = ep.waitUntil
 		}
 	}
 	calls := map[*call]uint64{}
@@ -585,8 +599,9 @@
 				r.heir.say(hand{Reload: true})
 			case h.stop:
 				r.stopAt = time.Now()
-			case h.news != nil: // a call that waits for a connection must not begin on a drained endpoint
-				r.list(h.news, listNews(h.news))
+			case h.update != nil || h.drains: // a call that waits for a connection must not begin on a drained endpoint
+				r.take(h)
+				r.applyAll()
 				r.events = nil
 			case h.unsent != nil || h.call != nil:
 				r.take(h)
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -12,9 +12,11 @@
 	"net"
 	"reflect"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"troutusher/decide"
+	"troutusher/internal/membership"
 )
 
 // Figures of a planned end. A relay has 3.7 s from SIGTERM until it is killed.
@@ -62,11 +64,12 @@
 // happening is something that the loop is told.
 type happening struct {
 	put     *request
-	said    *request // with ok
-	lost    *request // the log could not take it
-	news    *List
-	config  *Config // a new one
-	call    *call   // with result; of msg alone, where that is set
+	said    *request           // with ok
+	lost    *request           // the log could not take it
+	update  *membership.Update // a list that was read whole
+	drains  bool               // a list being read says that endpoints drain
+	config  *Config            // a new one
+	call    *call              // with result; of msg alone, where that is set
 	msg     *message
 	peer    *peer // another process of this relay says hand, or is gone
 	hand    *hand
@@ -93,15 +96,19 @@
 	agent     string // the address that both of them use
 	began     time.Time
 	lastNum   uint32
-	lastEnd   decide.Endpoint
+	madeUp    decide.Endpoint // the last number made up
 	lastCall  uint64
 	msgs      map[uint32]*message
 	ids       map[string]*message
 	past      past
 	waiting   map[*request]*message // whose clients have no answer yet
-	endpoints map[string]*endpoint
-	byNum     map[decide.Endpoint]*endpoint
-	named     map[int]bool // destinations that a list has named
+	directory *membership.Directory
+	applying  *membership.Update // a list that is being put in force
+	changes   []membership.Change
+	view      []membership.Endpoint
+	drains    atomic.Bool
+	endpoints map[decide.Endpoint]*endpoint // those that something is known or out of
+	leaving   []*endpoint
 	events    []decide.Event
 	actions   []decide.Action
 	forming   []*call    // of the step that is carried out
@@ -155,7 +162,14 @@
 	defer cancel()
 	r := &Relay{cfg: cfg, log: log, policy: policy, in: newMailbox[happening](), began: time.Now(), ctx: ctx,
 		msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*request]*message{},
-		endpoints: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, named: map[int]bool{}}
+		endpoints: map[decide.Endpoint]*endpoint{}, directory: cfg.Known}
+	if cfg.KnownErr != nil {
+		log.Error("the list in the configuration is not taken", "err", cfg.KnownErr)
+	}
+	if r.directory == nil {
+		r.directory = membership.NewDirectory(directoryLimit(&cfg.Limits))
+	}
+	policy.Use(r)
 	r.pool = newPool(0, 0, 0)
 	go r.pool.run(ctx)
 	r.clients = newClients(cfg, log, func(q *request) { r.in.put(happening{put: q}) },
@@ -170,7 +184,11 @@
 	defer held.release()
 	r.share(len(held.foreign) > 0)
 	elder := r.meet()
-	r.discovery = newDiscovery(cfg.Discovery, cfg.Policy.Relays, cfg.Known, log, func(l *List) { r.in.put(happening{news: l}) })
+	known := int64(-1)
+	if n, _ := r.directory.Len(); n > 0 {
+		known = r.directory.Revision()
+	}
+	r.discovery = newDiscovery(cfg.Discovery, cfg.Policy.Relays, known, log, r.begin)
 	r.discovery.grace = time.Duration(cfg.Policy.DrainGrace) * time.Microsecond / 2
 	r.notices = newNotices(cfg.Discovery, log, func(id string) { r.wal.submit(&record{Kind: recEnd, ID: id}, nil) })
 	r.agent, r.reload = cfg.Discovery, re
@@ -180,7 +198,7 @@
 		<-stop
 		r.in.put(happening{stop: true})
 	}()
-	r.firstList()
+	r.firstList(known >= 0)
 
 	var out map[string]*call // that the old process carries
 	if elder != nil {
@@ -220,7 +238,8 @@
 	go r.clients.serve(ln)
 	go r.offer(ctx)
 	go r.watchLogs(ctx, held)
-	log.Info("ready", "name", cfg.Name, "listen", ln.Addr().String(), "endpoints", len(r.endpoints), "owed", len(owed),
+	endpoints, destinations := r.directory.Len()
+	log.Info("ready", "name", cfg.Name, "listen", ln.Addr().String(), "endpoints", endpoints, "destinations", destinations, "owed", len(owed),
 		"out", len(out), "beside_another", r.sharing)
 	r.loop(ln)
 	return nil
@@ -229,10 +248,9 @@
 // firstList waits a while for the whole list: the one in the configuration may
 // be old, and an endpoint that drained since must not be sent to. Where
 // discovery is silent the old one has to do.
-func (r *Relay) firstList() {
+func (r *Relay) firstList(known bool) {
 	wait := firstList
-	if r.cfg.Known != nil && len(r.cfg.Known.Members) > 0 {
-		r.list(r.cfg.Known, decide.ListCached)
+	if known {
 		wait = firstNews
 	}
 	limit := time.NewTimer(wait)
@@ -244,8 +262,9 @@
 			got = r.in.takeAll(got)
 			for _, h := range got {
 				r.take(h)
-				heard = heard || h.news != nil
+				heard = heard || h.update != nil
 			}
+			r.applyAll()
 			if heard {
 				return
 			}
@@ -289,7 +308,7 @@
 				e.DoubtIn-- // a floor that is no more, and that of no endpoint
 			}
 		}
-		r.named[rec.Dest] = true // once, or it would not have been taken on
+		r.directory.Name(rec.Dest) // once, or it would not have been taken on
 		if t, ok := r.cfg.tenants[rec.Tenant]; ok {
 			e.Tenant = t
 		}
@@ -338,6 +357,9 @@
 		if !r.stopAt.IsZero() {
 			wait = min(wait, 20*time.Millisecond)
 		}
+		if r.applying != nil {
+			wait = 0
+		}
 		timer.Reset(max(wait, 0))
 		select {
 		case <-r.in.ready:
@@ -347,6 +369,9 @@
 		for i := range got {
 			r.take(got[i])
 		}
+		if r.applying != nil {
+			r.apply()
+		}
 		if r.timers.due(r.now()) {
 			r.events = append(r.events, decide.Event{Kind: decide.EvTimer})
 		}
@@ -401,8 +426,10 @@
 		r.said(h.said, h.ok)
 	case h.lost != nil:
 		r.lost(h.lost)
-	case h.news != nil:
-		r.list(h.news, listNews(h.news))
+	case h.update != nil:
+		r.update(h.update)
+	case h.drains:
+		r.drained()
 	case h.config != nil:
 		r.reconfigure(h.config)
 	case h.peer != nil:
@@ -430,13 +457,6 @@
 	}
 }
 
-func listNews(l *List) decide.ListNews {
-	if l.Complete {
-		return decide.ListFull
-	}
-	return decide.ListChange
-}
-
 // admit shows a message to the policy. Whether it is taken on shows in the
 // step: what the policy ends there is refused with no further ado.
 func (r *Relay) admit(q *request) {
@@ -453,9 +473,9 @@
 	case r.past.reply(q.rec.ID) != "": // it was ours: sent once more it could run again
 		q.answer(r.past.reply(q.rec.ID))
 		return
-	case len(r.named) > 0 && !r.named[q.rec.Dest]:
-		// It would be held for nothing, and the policy keeps each destination
-		// for good. One whose endpoints are only gone for now has been named.
+	case !r.directory.Named(q.rec.Dest):
+		// It would be held for nothing. One whose endpoints are only gone for now
+		// has been named.
 		q.answer(fault(fmt.Errorf("dest: no list names %d", q.rec.Dest)))
 		return
 	case r.cfg.Policy.MaxHeld > 0 && r.held >= r.cfg.Policy.MaxHeld:
@@ -578,100 +598,6 @@
 	}
 }
 
-// list books news of the list.
-func (r *Relay) list(l *List, kind decide.ListNews) {
-	e := decide.Event{Kind: decide.EvList, List: kind}
-	seen := map[string]bool{}
-	for i := range l.Members {
-		x := &l.Members[i]
-		if x.check() != nil {
-			continue // in the configuration's list; discovery's is checked already
-		}
-		seen[x.ID] = true
-		e.Entries = append(e.Entries, r.member(x))
-	}
-	if kind != decide.ListChange {
-		for id, ep := range r.endpoints {
-			if !seen[id] {
-				r.leave(ep)
-			}
-		}
-	}
-	r.events = append(r.events, e)
-	if len(r.outages) > 0 {
-		ids := make([]string, len(l.Members))
-		for i := range l.Members {
-			ids[i] = l.Members[i].ID
-		}
-		r.tellOutages(ids)
-	}
-	for id, ep := range r.endpoints { // the list's comings and goings must not fill the memory
-		if ep.gone && len(ep.calls) == 0 && r.now() > max(ep.goneAt+forgetGone, ep.waitUntil) && !seen[id] {
-			delete(r.endpoints, id)
-			delete(r.byNum, ep.num)
-		}
-	}
-}
-
-func (r *Relay) member(x *Member) decide.Entry {
-	ep := r.endpoints[x.ID]
-	if ep == nil {
-		r.lastEnd++
-		ep = &endpoint{id: x.ID, num: r.lastEnd, calls: map[*call]bool{}}
-		r.endpoints[x.ID], r.byNum[ep.num] = ep, ep
-	}
-	if x.Phase != phaseRemoved && (ep.hostPort != x.HostPort || ep.cell != x.Cell) {
-		// It moved under its old name: nothing more goes to the old place.
-		r.leave(ep)
-		ep.hostPort, ep.cell = x.HostPort, x.Cell
-	}
-	if x.Phase == phaseUp && (ep.home == nil || ep.gone) {
-		ep.home = r.pool.home(ep.hostPort)
-	}
-	if x.Phase != phaseRemoved {
-		r.named[x.Cell] = true
-	}
-	entry := decide.Entry{Endpoint: ep.num, Zone: place(r.cfg.zones, x.Locality), Kind: place(r.cfg.kinds, x.Flavor),
-		Dest: x.Cell, State: decide.Ready, Rate: x.Size}
-	ep.floor, ep.batch, ep.apart = x.Locality[:min(len(x.Locality), floorMost)], 1, false
-	if entry.Kind >= 0 && entry.Kind < len(r.cfg.Policy.Kinds) {
-		kind := r.cfg.Policy.Kinds[entry.Kind]
-		ep.batch, ep.apart = max(kind.Batch, 1), kind.Apart
-	}
-	switch x.Phase {
-	case phaseUp:
-		ep.gone = false
-	case phaseDraining:
-		entry.State = decide.Draining
-		r.leave(ep)
-	case phaseRemoved:
-		entry.State, entry.Dest = decide.Gone, ep.cell
-		r.leave(ep)
-	}
-	return entry
-}
-
-// leave lets nothing new go to an endpoint; a call that still waits for a
-// connection there would begin it too late.
-func (r *Relay) leave(ep *endpoint) {
-	if !ep.gone {
-		ep.gone, ep.goneAt = true, r.now()
-	}
-	for c := range ep.calls {
-		c.withhold(errDrained)
-	}
-	if ep.home != nil {
-		ep.home.close()
-	}
-}
-
-func place(at map[string]int, name string) int {
-	if i, ok := at[name]; ok {
-		return i
-	}
-	return -1
-}
-
 // step lets the policy decide on what has happened, and acts.
 func (r *Relay) step() {
 	events := r.events
@@ -818,7 +744,7 @@
 	case decide.ActTimer:
 		r.timers.add(now + a.After)
 	case decide.ActProbe:
-		if ep := r.byNum[a.Endpoint]; ep != nil && !ep.gone {
+		if ep := r.endpoint(a.Endpoint); ep != nil && !ep.gone {
 			h, num := ep.home, a.Endpoint // a is of a buffer that the next step fills again
 			go func() {
 				o := probe(r.ctx, h)
@@ -826,11 +752,13 @@
 			}()
 		}
 	case decide.ActClose:
-		if ep := r.byNum[a.Endpoint]; ep != nil && ep.home != nil {
+		if ep := r.endpoints[a.Endpoint]; ep != nil && ep.home != nil {
 			ep.home.closeIdle()
 		}
 	case decide.ActOutage:
 		r.keepOutage(a.Endpoint)
+	case decide.ActRelease:
+		r.release(a.Endpoint)
 	case decide.ActLog:
 		r.log.Info("policy", "says", a.Text)
 	}
@@ -839,7 +767,7 @@
 // form gives the call of this step that a send to an endpoint joins. What one
 // step sends to one endpoint travels together, as far as its kind allows.
 func (r *Relay) form(num decide.Endpoint) *call {
-	ep := r.byNum[num]
+	ep := r.endpoint(num)
 	for _, c := range r.forming {
 		if ep != nil && c.ep == ep && len(c.msgs) < ep.batch {
 			return c
@@ -953,9 +881,12 @@
 			c.withhold(errTold)
 		}
 	}
-	bind(told)
-	for _, ep := range r.endpoints {
-		if ep != told && ep.cell == told.cell && !ep.apart && !told.apart {
+	if bind(told); told.apart {
+		return
+	}
+	r.view = r.directory.Of(told.cell, r.view[:0])
+	for i := range r.view {
+		if ep := r.endpoint(decide.Endpoint(r.view[i].Number)); ep != told && !ep.apart {
 			bind(ep)
 		}
 	}
--- a/internal/relay/outage_test.go
+++ b/internal/relay/outage_test.go
@@ -19,7 +19,7 @@
 // again, and none is left open alone for longer.
 func TestNextRequestIsInTime(t *testing.T) {
 	for _, relays := range []int{1, 3, 30, 300, 3000, 100000} {
-		d := newDiscovery("127.0.0.1:1", relays, nil, quietLog(), nil)
+		d := newDiscovery("127.0.0.1:1", relays, -1, quietLog(), nil)
 		for _, due := range []time.Duration{-time.Hour, -time.Second, time.Second, discDue} {
 			for n := range 100 {
 				d.due = time.Now().Add(due)
@@ -127,8 +127,7 @@
 				heard := make(chan int64, 8*relays)
 				var all []*discovery
 				for range relays {
-					known := &List{Revision: 7, Complete: true, Members: []Member{{ID: "s-1", HostPort: "127.0.0.1:1", Phase: phaseUp}}}
-					d := newDiscovery(addr, relays, known, slog.New(log), func(l *List) { heard <- l.Revision })
+					d := newDiscovery(addr, relays, 7, slog.New(log), collect(func(l *List) { heard <- l.Revision }))
 					d.grace = 100 * time.Millisecond
 					all = append(all, d)
 					running.Add(1)
--- a/internal/relay/outages.go
+++ b/internal/relay/outages.go
@@ -2,6 +2,7 @@
 
 import (
 	"troutusher/decide"
+	"troutusher/internal/membership"
 )
 
 // What a relay knows of outages and of the ramps after them outlasts its process in the
@@ -10,7 +11,7 @@
 
 // keepOutage logs what the policy knows of an endpoint's outage by now, or that it is over.
 func (r *Relay) keepOutage(num decide.Endpoint) {
-	ep := r.byNum[num]
+	ep := r.endpoint(num) // known under its id though it leaves
 	if ep == nil || ep.id == "" {
 		return
 	}
@@ -52,12 +53,13 @@
 	m := &decide.Memory{}
 	for _, id := range ids {
 		o, found := r.outages[id]
-		ep := r.endpoints[id]
-		if !found || ep == nil || ep.gone {
+		e, listed := r.directory.Find(id)
+		if !found || !listed || e.Phase != membership.Up {
 			continue
 		}
 		delete(r.outages, id)
-		o.Endpoint = ep.num
+		o.Endpoint, o.Dest = decide.Endpoint(e.Number), e.Dest
+		r.endpoint(o.Endpoint) // so that its id is known when it leaves
 		m.Outages = append(m.Outages, o)
 	}
 	if len(m.Outages) > 0 {
--- a/internal/relay/outages_test.go
+++ b/internal/relay/outages_test.go
@@ -45,7 +45,7 @@
 	for _, listed := range []bool{true, false} {
 		r := testRelay(t)
 		r.wal = w
-		list := func() { r.list(&List{Revision: 1, Complete: true, Members: []Member{away}}, decide.ListFull) }
+		list := func() { r.told(t, &List{Revision: 1, Complete: true, Members: []Member{away}}) }
 		if listed {
 			list()
 		}
@@ -54,12 +54,12 @@
 			list()
 		}
 		r.step()
-		num := r.endpoints["s-1"].num
+		num := r.named("s-1").num
 		o, known := r.policy.Outage(num)
 		if !known || r.wall(o.FirstBad) != found[0].Outage.FirstBad || len(r.outages) != 0 {
 			t.Errorf("listed at the start %v: known %v, %+v, want %+v; %d not told", listed, known, o, found[0].Outage, len(r.outages))
 		}
-		r.list(&List{Revision: 2, Members: []Member{{ID: "s-1", Phase: phaseRemoved}}}, decide.ListChange)
+		r.told(t, &List{Revision: 2, Members: []Member{{ID: "s-1", Phase: phaseRemoved}}})
 		r.step() // nothing is known of what is gone
 		ops := w.in.takeAll(nil)
 		if len(ops) == 0 || ops[len(ops)-1].rec.Kind != recOutage || ops[len(ops)-1].rec.Outage != nil {
--- a/internal/relay/watch_test.go
+++ b/internal/relay/watch_test.go
@@ -84,8 +84,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	log := &pauses{Handler: slog.NewTextHandler(io.Discard, nil)}
 	news, done := make(chan *List, 64), make(chan struct{})
-	known := &List{Revision: 7, Complete: true, Members: []Member{{ID: "s-1", HostPort: "127.0.0.1:1", Phase: phaseUp}}}
-	d := newDiscovery(addr, relays, known, slog.New(log), func(l *List) { news <- l })
+	d := newDiscovery(addr, relays, 7, slog.New(log), collect(func(l *List) { news <- l }))
 	d.grace, d.silence = 100*time.Millisecond, 400*time.Millisecond
 	t.Cleanup(func() { cancel(); <-done })
 	go func() { defer close(done); d.run(ctx) }()
@@ -173,7 +172,7 @@
 
 // Refusals are answered by pauses, but there is another try before word counts as told.
 func TestRefusedTriesFitIntoTheTime(t *testing.T) {
-	d := newDiscovery("127.0.0.1:1", 300, nil, quietLog(), nil)
+	d := newDiscovery("127.0.0.1:1", 300, -1, quietLog(), nil)
 	for _, left := range []time.Duration{5 * time.Second, 2 * time.Second, 500 * time.Millisecond} {
 		d.due = time.Now().Add(left)
 		if got := d.rest(6, 0.999); got >= left {
