--- a/internal/rig/experiment/experiment.go
+++ b/internal/rig/experiment/experiment.go
@@ -76,20 +76,20 @@
 
 // History is the world of relays that each see little of every destination.
 type History struct {
-	Relays       int     `toml:"relays" json:"relays"`               // of the whole fleet
-	Played       int     `toml:"played" json:"played"`               // of them in the simulation; partners are scaled to their part
-	EventsPerS   float64 `toml:"events_per_s" json:"events_per_s"`   // at one relay
-	Seconds      float64 `toml:"seconds" json:"seconds"`             // of the model's time
-	DownShare    float64 `toml:"down_share" json:"down_share"`       // of the destinations at any time
-	DownMeanS    float64 `toml:"down_mean_s" json:"down_mean_s"`     // mean length of an outage
-	Zipf         float64 `toml:"zipf" json:"zipf"`                   // exponent of the destinations' weights; 0 for even
-	Headroom     float64 `toml:"headroom" json:"headroom"`           // a partner's capacity over its mean traffic
-	DeadlineS    float64 `toml:"deadline_s" json:"deadline_s"`       // of a message
-	RoundTripMS  float64 `toml:"round_trip_ms" json:"round_trip_ms"` // of a call
-	SilentShare  float64 `toml:"silent_share" json:"silent_share"`   // of outages in which nothing is answered
-	ToldShare    float64 `toml:"told_share" json:"told_share"`       // of outages that answer 429 with a wait
-	ToldWaitS    float64 `toml:"told_wait_s" json:"told_wait_s"`
-	MaxHeldTotal int     `toml:"most_held" json:"most_held"`
+	Relays      int     `toml:"relays" json:"relays"`               // of the whole fleet
+	Played      int     `toml:"played" json:"played"`               // of them in the simulation; partners are scaled to their part
+	EventsPerS  float64 `toml:"events_per_s" json:"events_per_s"`   // at one relay
+	Seconds     float64 `toml:"seconds" json:"seconds"`             // of the model's time
+	DownShare   float64 `toml:"down_share" json:"down_share"`       // of the destinations at any time
+	DownMeanS   float64 `toml:"down_mean_s" json:"down_mean_s"`     // mean length of an outage
+	Zipf        float64 `toml:"zipf" json:"zipf"`                   // exponent of the destinations' weights; 0 for even
+	Headroom    float64 `toml:"headroom" json:"headroom"`           // a partner's capacity over its mean traffic
+	DeadlineS   float64 `toml:"deadline_s" json:"deadline_s"`       // of a message
+	RoundTripMS float64 `toml:"round_trip_ms" json:"round_trip_ms"` // of a call
+	SilentShare float64 `toml:"silent_share" json:"silent_share"`   // of outages in which nothing is answered
+	ToldShare   float64 `toml:"told_share" json:"told_share"`       // of outages that answer 429 with a wait
+	ToldWaitS   float64 `toml:"told_wait_s" json:"told_wait_s"`
+	MaxHeld     int     `toml:"most_held" json:"most_held"`
 }
 
 // Kinds of experiment, with what each measures against what grows.
@@ -119,7 +119,7 @@
 		Load:  Load{Messages: 1000, Conns: 8, DeadlineMS: 60000, BodyBytes: 200, Changes: 50, Reloads: 10, Reconnects: 5},
 		Fleet: Fleet{Zones: 4, Racks: 20, Fault: "silent", Known: true, DownS: 5, QuietS: 4, WithinS: 120},
 		History: History{Relays: 3000, Played: 30, EventsPerS: 157, Seconds: 120, DownShare: 0.024, DownMeanS: 60, Headroom: 2, DeadlineS: 8,
-			RoundTripMS: 30, SilentShare: 0.5, MaxHeldTotal: 100000},
+			RoundTripMS: 30, SilentShare: 0.5, MaxHeld: 100000},
 	}
 	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
 	if err := dec.Decode(x); err != nil {
--- a/internal/rig/experiment/fleet.go
+++ b/internal/rig/experiment/fleet.go
@@ -91,6 +91,15 @@
 	if err := watch("start", all, 1, func() error { return f.Start(false, all...) }); err != nil {
 		return figures, err
 	}
+	for calm := 0; calm < 2; { // the last of the start's askings are over
+		asked := reg.Total(0).Asked()
+		if err := pause(ctx, time.Second); err != nil {
+			return figures, err
+		}
+		if calm++; reg.Total(0).Asked() > asked {
+			calm = 0
+		}
+	}
 	at := reg.Total(0)
 	quiet := time.Duration(x.Fleet.QuietS * float64(time.Second))
 	if err := pause(ctx, quiet); err != nil {
