Rig: tell that a relay rests also where it has used no processor time yet

A run waited for up to two minutes before each measuring: rest was told by two equal readings of processor time that are not 0, and a small relay that has just started reads 0, in units of 10 ms. The first reading is now taken for one, whatever it is. A test runs each kind with a real relay at a small size.

--- a/internal/rig/experiment/processes.go
+++ b/internal/rig/experiment/processes.go
@@ -157,13 +157,13 @@
 
 // calm waits until the relay has nothing to do and tells what it has used by then.
 func (b *bench) calm() (process.Cost, error) {
-	var before process.Cost
+	before := process.Cost{CPU: -time.Hour}
 	for end := time.Now().Add(calmMost); time.Now().Before(end); {
 		c, err := b.relay.Cost()
 		if err != nil {
 			return c, err
 		}
-		if before.CPU > 0 && c.CPU-before.CPU <= 10*time.Millisecond {
+		if c.CPU-before.CPU <= 10*time.Millisecond {
 			return c, nil
 		}
 		before = c
