Keep a flag for what waits for a slot in place of a search in the list of it

Cause: where many destinations wait for a slot, each step with a free one looks at all of them and searched `Policy.ready` for each: a thousand waiting, a million compares a step. The relay then fell behind what it was sent, which made more of them wait.

Change: the destination says whether it is in that list. One that is, is not let go.

What is left is a look at each destination that waits, at each step with a free slot.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -990,6 +990,7 @@
 func (p *Policy) dispatch() {
 	if p.calls < p.set.Slots { // what waited for a slot is chosen anew
 		for _, d := range p.ready {
+			d.ready = false
 			p.touch(d)
 		}
 		p.ready = p.ready[:0]
@@ -997,7 +998,8 @@
 	for _, d := range p.touched {
 		d.touched = false
 		p.best(d)
-		if d.pick != nil && !slices.Contains(p.ready, d) {
+		if d.pick != nil && !d.ready {
+			d.ready = true
 			p.ready = append(p.ready, d)
 		}
 	}
@@ -1012,6 +1014,7 @@
 		d := p.ready[at]
 		p.call(d)
 		if p.best(d); d.pick == nil {
+			d.ready = false
 			p.ready = slices.Delete(p.ready, at, at+1)
 		}
 	}
--- a/decide/held.go
+++ b/decide/held.go
@@ -119,7 +119,7 @@
 // lapsed: nothing is owed, out, told or awaited at a destination, and it has not
 // been used for as long as what was learned there counts. Time alone does not undo it.
 func (p *Policy) lapsed(d *dest) bool {
-	if p.now-d.usedAt < p.lapse || len(d.queue) > 0 || d.flying > 0 || d.pick != nil || d.wakes > p.now {
+	if p.now-d.usedAt < p.lapse || len(d.queue) > 0 || d.flying > 0 || d.pick != nil || d.ready || d.wakes > p.now {
 		return false
 	}
 	for _, l := range d.lanes {
--- a/decide/state.go
+++ b/decide/state.go
@@ -48,6 +48,7 @@
 	queue   []*message
 	flying  int
 	touched bool
+	ready   bool // in Policy.ready
 	wakeAt  Time // next moment in wakes
 	wakes   Time // the last of them
 	toldAt  Time // when it was last logged why messages wait here
