--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -524,3 +524,32 @@
 		})
 	}
 }
+
+// A change of one entry costs what it changes, whatever else is listed: bytes are counted, not time.
+func TestChangeCostsWhatItChanges(t *testing.T) {
+	each := func(dests int) float64 {
+		d := NewDirectory(0)
+		l := List{Revision: 1, Complete: true}
+		for i := range dests {
+			l.Members = append(l.Members, Member{ID: fmt.Sprintf("s-%08x", i), HostPort: "10.1.2.3:80", Locality: "a", Flavor: "k", Cell: i, Phase: "up", Size: 1})
+		}
+		take(t, d, l, 512)
+		const changes = 200
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for n := range changes {
+			x := l.Members[dests-1-n]
+			x.Phase = "draining"
+			if got := take(t, d, List{Revision: int64(n + 2), Members: []Member{x}}, 512); len(got) != 1 {
+				t.Fatalf("%d changes", len(got))
+			}
+		}
+		runtime.ReadMemStats(&after)
+		return float64(after.TotalAlloc-before.TotalAlloc) / changes
+	}
+	few, many := each(1000), each(200000)
+	t.Logf("%.0f bytes a change of one entry with 1,000 listed, %.0f with 200,000", few, many)
+	if many > 1.5*few {
+		t.Errorf("%.0f bytes a change of one entry with 1,000 listed, %.0f with 200,000", few, many)
+	}
+}
--- a/internal/membership/stage.go
+++ b/internal/membership/stage.go
@@ -13,9 +13,14 @@
 	d     *Directory
 	first uint32 // of the staged records, plus one
 	last  uint32
-	seen  []uint64 // slots that the list names
+	seen  map[uint32]*seenPage // slots that the list names, by page
+	page  *seenPage            // the one that was used last
+	paged uint32               // and its number
 }
 
+// seenPage is a bit for each slot of a page.
+type seenPage [pageSize / 64]uint64
+
 // Stage begins a list. It waits until the one before it is in force, or ctx ends.
 func (d *Directory) Stage(ctx context.Context) (*Stage, error) {
 	select {
@@ -77,11 +82,19 @@
 	return told, nil
 }
 
+// see notes that the list names a slot. A change of one entry makes one page, whatever else is listed.
 func (s *Stage) see(slot uint32) {
-	for int(slot/64) >= len(s.seen) {
-		s.seen = append(s.seen, make([]uint64, max(64, len(s.seen)/4))...)
+	if n := slot / pageSize; s.page == nil || s.paged != n {
+		if s.page = s.seen[n]; s.page == nil {
+			s.page = &seenPage{}
+			if s.seen == nil {
+				s.seen = map[uint32]*seenPage{}
+			}
+			s.seen[n] = s.page
+		}
+		s.paged = n
 	}
-	s.seen[slot/64] |= 1 << (slot % 64)
+	s.page[slot%pageSize/64] |= 1 << (slot % 64)
 }
 
 // Abort gives the list up: it changes nothing.
@@ -169,8 +182,8 @@
 		most--
 		for range sweepWords {
 			var word uint64
-			if at := int(u.swept / 64); at < len(s.seen) {
-				word = s.seen[at]
+			if page := s.seen[u.swept/pageSize]; page != nil {
+				word = page[u.swept%pageSize/64]
 			}
 			end := min(u.swept/64*64+64, u.limit)
 			if word == ^uint64(0) {
