Let a relay with one processor answer while it reads a long list

Cause: with one processor (limits.cores 1) the goroutine that reads a list is always ready to go on. It yielded every 256 entries, but the runtime then looks for what came over sockets every 10 ms only, so that half of the messages taken beside a list of 880,000 destinations had their answer after 10.1 ms.

Change: reading yields every 128 entries and rests after each 4 ms (`listTurn`), and so does the loop while it puts a list in force.

--- a/internal/membership/read.go
+++ b/internal/membership/read.go
@@ -5,15 +5,11 @@
 	"bytes"
 	"errors"
 	"io"
-	"runtime"
 
 	"github.com/go-faster/jx"
 )
 
-const (
-	readSize  = 64 << 10 // bytes read at once, and those after which a list counts as going on
-	yieldEach = 256      // entries after which others may run
-)
+const readSize = 64 << 10 // bytes read at once, and those after which a list counts as going on
 
 // Header is what a list says of itself; HasRevision tells whether it has come yet.
 type Header struct {
@@ -52,7 +48,7 @@
 
 func readList(d *jx.Decoder, lenient bool, take func(h *Header, e *Entry) error) (h Header, err error) {
 	x := &Entry{}
-	members, count := false, 0
+	members := false
 	one := func(d *jx.Decoder) error {
 		if err := x.read(d); err != nil {
 			return err
@@ -63,9 +59,6 @@
 			}
 			return err
 		}
-		if count++; count%yieldEach == 0 {
-			runtime.Gosched()
-		}
 		return take(&h, x)
 	}
 	err = d.ObjBytes(func(d *jx.Decoder, key []byte) (err error) {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -104,6 +104,7 @@
 	waiting   map[*request]*message // whose clients have no answer yet
 	directory *membership.Directory
 	applying  *membership.Update // a list that is being put in force
+	turn      turn
 	changes   []membership.Change
 	view      []membership.Endpoint
 	drains    atomic.Bool
@@ -358,7 +359,9 @@
 			wait = min(wait, 20*time.Millisecond)
 		}
 		if r.applying != nil {
-			wait = 0
+			if wait = 0; r.turn.over() {
+				wait = listRest
+			}
 		}
 		timer.Reset(max(wait, 0))
 		select {
--- a/internal/relay/members.go
+++ b/internal/relay/members.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"runtime"
 	"sync/atomic"
+	"time"
 
 	"troutusher/decide"
 	"troutusher/internal/membership"
@@ -12,8 +14,13 @@
 // only those that a call, a wait or a connection needs are objects of the loop.
 
 const (
-	listChunk  = 512 // changes of a list that are put in force at once
-	leaveLooks = 64  // endpoints looked at for whether they can be forgotten, with each change
+	listChunk = 512 // changes of a list that are put in force at once
+	yieldEach = 128 // entries read after which others may run
+	// A goroutine that is always ready lets others run, but with one processor what comes
+	// over sockets is then looked for every 10 ms only: it rests after each listTurn.
+	listTurn   = 4 * time.Millisecond
+	listRest   = 50 * time.Microsecond // at least; a millisecond where the system's timers are coarse
+	leaveLooks = 64                    // endpoints looked at for whether they can be forgotten, with each change
 	// directoryPart is the part of the memory that the directory may take, in tenths.
 	directoryPart = 6
 	// madeUp marks the number of an endpoint that no list names.
@@ -28,6 +35,21 @@
 	*membership.Stage
 	put   func(happening)
 	drain *atomic.Bool // the loop is to be told, and has not looked yet
+	count int
+	turn  turn
+}
+
+// turn tells when a long work is to rest.
+type turn struct{ began time.Time }
+
+// over reports whether the turn is, and begins the next.
+func (t *turn) over() bool {
+	now := time.Now()
+	if !t.began.IsZero() && now.Sub(t.began) < listTurn {
+		return false
+	}
+	t.began = now
+	return true
 }
 
 // begin begins a list, once the one before it is in force.
@@ -36,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &reading{s, r.in.put, &r.drains}, nil
+	return &reading{Stage: s, put: r.in.put, drain: &r.drains}, nil
 }
 
 func (l *reading) Entry(e *membership.Entry, bind bool) error {
@@ -44,6 +66,13 @@
 	if told && l.drain.CompareAndSwap(false, true) {
 		l.put(happening{drains: true})
 	}
+	if l.count++; l.count%yieldEach != 0 {
+		return err
+	}
+	if runtime.Gosched(); l.turn.over() {
+		time.Sleep(listRest)
+		l.turn.began = time.Now()
+	}
 	return err
 }
 
