--- a/review/testdata/upgradebusy/main.go
+++ b/review/testdata/upgradebusy/main.go
@@ -223,7 +223,7 @@
 	time.Sleep(2 * time.Second)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	broken, refused := 0, 0
+	broken, refused, example := 0, 0, ""
 	for name, pay := range payments {
 		if strings.HasPrefix(pay.answer, "-BUSY") {
 			refused++
@@ -233,11 +233,12 @@
 			line := fmt.Sprintf("message %s (%s) was answered %q and has run; handed in again, %s was paid by messages %v",
 				pay.id, name, pay.answer, name, p.paid[name])
 			rec.Line("BROKEN %s", line)
-			fmt.Println("broken:", line)
+			example = line
 		}
 	}
 	switch {
 	case broken > 0:
+		fmt.Printf("broken, %d of %d refused messages have run: %s\n", broken, refused, example)
 		return exitBroken
 	case refused == 0:
 		fmt.Println("cannot run: no message was refused")
--- a/review/testdata/upgradezone/main.go
+++ b/review/testdata/upgradezone/main.go
@@ -204,15 +204,16 @@
 	time.Sleep(12 * time.Second)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	broken := 0
+	broken, example := 0, ""
 	for id, where := range p.effects {
 		if len(where) > 1 {
 			broken++
-			rec.Line("BROKEN message %s took effect %d times: at %s", id, len(where), strings.Join(where, ", then at "))
-			fmt.Printf("broken: message %s took effect %d times: at %s\n", id, len(where), strings.Join(where, ", then at "))
+			example = fmt.Sprintf("message %s took effect %d times: at %s", id, len(where), strings.Join(where, ", then at "))
+			rec.Line("BROKEN %s", example)
 		}
 	}
 	if broken > 0 {
+		fmt.Printf("broken, %d messages: %s\n", broken, example)
 		return exitBroken
 	}
 	fmt.Println("held")
