Refuse a client that has left only once its message can no longer run

Cause: handOver puts off new messages until the hand-over has ended, but handled the departure of a client at once. The withdrawal of a message that had been put off found nothing and was dropped, and the successor took the message on. Where the hand-over fails, the old process took it on and waited for ever for its reply, so that no later hand-over succeeded. The refusal was also written before the withdrawal was certain: a kill of either process in between, or the death of the successor, left a refused message in a log that the next process delivers.

Ruled out: a report lost between the processes (none was sent), and the log (no end was submitted).

Change: a departure keeps its place behind its message. The client is refused after the log's owner has recorded the message's end; a predecessor asks its successor to confirm that. What was forwarded to a successor that has died is answered as failed.

Two existing tests set the new reply of a request; their checks are unchanged.

--- a/internal/relay/batch_test.go
+++ b/internal/relay/batch_test.go
@@ -282,7 +282,7 @@
 	var requests []*putRequest
 	at := r.now() + 1e9
 	for _, id := range []string{"a", "b", "c"} {
-		req := &putRequest{record: &record{ID: id, Class: "plain", Dest: 7}, reply: make(chan string, 1)}
+		req := newPutRequest(&record{ID: id, Class: "plain", Dest: 7})
 		m := r.newMessage(req.record)
 		r.unanswered[req] = m
 		r.performAction(r.now(), &decide.Action{Kind: decide.ActSend, Message: m.num, Endpoint: num, TimeoutAt: at})
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -53,12 +53,19 @@
 type putRequest struct {
 	record   *record
 	timeLeft time.Duration // until the deadline, as the client stated it
-	reply    chan string   // receives the reply where the client is connected to this process
+	// Where the client is connected to this process, reply receives the reply. Where it left before that, withdrawal
+	// receives the reply that takes its place; it is empty if the one in reply holds.
+	reply, withdrawal chan string
 
-	// For a request that the predecessor process forwards: forward sends the reply back to that process, and
-	// replied reports whether a reply was sent.
-	forward func(string)
-	replied bool
+	// For a request that the predecessor process forwards: forward and forwardWithdrawal send the reply back to that
+	// process, and replied reports whether a reply was sent.
+	forward, forwardWithdrawal func(string)
+	replied                    bool
+}
+
+// newPutRequest returns a request of a client that is connected to this process.
+func newPutRequest(rec *record) *putRequest {
+	return &putRequest{record: rec, reply: make(chan string, 1), withdrawal: make(chan string, 1)}
 }
 
 // sendReply passes the reply on to the client, by way of the predecessor process where that forwarded the request.
@@ -70,6 +77,18 @@
 	r.reply <- reply
 }
 
+// finishWithdrawal is called after replyWritten has reported that the client left before it had its reply. A refusal
+// is passed here only once no process will deliver the message any more.
+func (r *putRequest) finishWithdrawal(reply string) {
+	if r.forward != nil {
+		if r.forwardWithdrawal != nil {
+			r.forwardWithdrawal(reply)
+		}
+		return
+	}
+	r.withdrawal <- reply
+}
+
 // parsePut parses the arguments of a MSG.PUT command that was read at now. The error names the invalid argument or
 // field.
 func (c *Config) parsePut(args [][]byte, now clock.Instant) (*putRequest, error) {
@@ -80,7 +99,7 @@
 	if !isHeaderToken(id) {
 		return nil, errors.New("id: empty, too long or not plain")
 	}
-	request := &putRequest{record: &record{Kind: recordAccepted, ID: id, body: args[4]}, reply: make(chan string, 1)}
+	request := newPutRequest(&record{Kind: recordAccepted, ID: id, body: args[4]})
 	values := map[string]string{}
 	for field := range strings.SplitSeq(string(args[3]), ",") {
 		name, value, ok := strings.Cut(field, "=")
@@ -148,10 +167,11 @@
 
 // clients is the server side of the client protocol.
 type clients struct {
-	clock        clock.Clock
-	log          *slog.Logger
-	submit       func(*putRequest)                  // passes the request to the event loop, which calls sendReply
-	replyWritten func(request *putRequest, ok bool) // reports whether the reply was written before the client left
+	clock  clock.Clock
+	log    *slog.Logger
+	submit func(*putRequest) // passes the request to the event loop, which calls sendReply
+	// replyWritten reports whether the reply was written before the client left. If not, finishWithdrawal is called.
+	replyWritten func(request *putRequest, ok bool)
 	// The timeouts close connections that send nothing or do not finish a command.
 	firstCommandTimeout, commandTimeout, idleTimeout time.Duration
 
@@ -643,7 +663,10 @@
 			// The client has disconnected, or has ended its side of the connection and may still read. In both
 			// cases the message is withdrawn: no attempt has begun, since its client had no reply.
 			c.replyWritten(request, false)
-			c.writeReply(cc, resp.Busy(0))
+			if reply = <-request.withdrawal; reply == "" {
+				reply = <-request.reply
+			}
+			c.writeReply(cc, reply)
 			return false, nil
 		}
 		reply = <-request.reply
--- a/internal/relay/fuzz_handover_test.go
+++ b/internal/relay/fuzz_handover_test.go
@@ -224,8 +224,9 @@
 	f.Fuzz(func(t *testing.T, id string, duration int64, outcome uint8, flag bool, body, trailing []byte) {
 		id = strings.ToValidUTF8(id, "?") // JSON strings are valid UTF-8
 		sent := []handoverMessage{
-			{Hello: &handoverHello{PolicyNow: duration}}, {Ready: flag}, {Cancel: id},
-			{ReplyWritten: &handoverReplyWritten{id, flag}}, {Reply: &handoverReply{id, id}},
+			{Hello: &handoverHello{PolicyNow: duration, ConfirmsWithdrawals: flag}}, {Ready: flag}, {Cancel: id},
+			{ReplyWritten: &handoverReplyWritten{id, flag, flag}}, {Reply: &handoverReply{id, id}},
+			{Withdrawn: &handoverWithdrawal{id, id}},
 			{Outcome: &handoverOutcome{ID: id, Outcome: decide.Outcome(outcome), RetryAfter: duration, Settled: flag,
 				Elapsed: duration, Err: id}},
 			{Put: &handoverPut{&record{Kind: recordAccepted, ID: id, Dest: int(duration)}, body}},
--- a/internal/relay/half_closed_test.go
+++ b/internal/relay/half_closed_test.go
@@ -21,6 +21,7 @@
 		t.Error("the reply was reported as written, want not written")
 	}
 	request.sendReply(resp.OK) // too late
+	request.finishWithdrawal(resp.Busy(0))
 	if reply := client.readLine(); reply != "-BUSY" {
 		t.Errorf("got reply %q, want -BUSY", reply)
 	}
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -19,7 +19,6 @@
 	"troutusher/decide"
 	"troutusher/internal/clock"
 	"troutusher/internal/membership"
-	"troutusher/internal/resp"
 )
 
 // An upgrade hands over from a running process, the predecessor, to a newly started one, the successor,
@@ -38,24 +37,28 @@
 
 // handoverMessage is one line between the two processes, with one of its fields set.
 type handoverMessage struct {
-	Hello        *handoverHello        `json:"hello,omitempty"`   // from the successor, and in reply from the predecessor
-	Ready        bool                  `json:"take,omitempty"`    // from the successor: it is ready to take over
-	State        *handoverState        `json:"estate,omitempty"`  // from the predecessor, in reply to Ready
-	LogTaken     bool                  `json:"taken,omitempty"`   // from the successor: it owns the log now
-	Outcome      *handoverOutcome      `json:"outcome,omitempty"` // from the predecessor: of a call that it finished
-	Cancel       string                `json:"cancel,omitempty"`  // from the successor: the message whose call to cancel
-	Put          *handoverPut          `json:"put,omitempty"`     // from the predecessor: a message of one of its clients
-	Reply        *handoverReply        `json:"answer,omitempty"`  // from the successor, to a Put
-	ReplyWritten *handoverReplyWritten `json:"said,omitempty"`    // from the predecessor: whether the client got it
-	Reload       bool                  `json:"reload,omitempty"`  // from the predecessor: it got the signal to reload
+	Hello        *handoverHello        `json:"hello,omitempty"`     // from the successor, and in reply from the predecessor
+	Ready        bool                  `json:"take,omitempty"`      // from the successor: it is ready to take over
+	State        *handoverState        `json:"estate,omitempty"`    // from the predecessor, in reply to Ready
+	LogTaken     bool                  `json:"taken,omitempty"`     // from the successor: it owns the log now
+	Outcome      *handoverOutcome      `json:"outcome,omitempty"`   // from the predecessor: of a call that it finished
+	Cancel       string                `json:"cancel,omitempty"`    // from the successor: the message whose call to cancel
+	Put          *handoverPut          `json:"put,omitempty"`       // from the predecessor: a message of one of its clients
+	Reply        *handoverReply        `json:"answer,omitempty"`    // from the successor, to a Put
+	ReplyWritten *handoverReplyWritten `json:"said,omitempty"`      // from the predecessor: whether the client got it
+	Withdrawn    *handoverWithdrawal   `json:"withdrawn,omitempty"` // from the successor, to a ReplyWritten that asks for it
+	Reload       bool                  `json:"reload,omitempty"`    // from the predecessor: it got the signal to reload
 }
 
-// handoverHello begins the exchange. The successor's is empty.
+// handoverHello begins the exchange. PolicyNow and Clock are set by the predecessor, and ConfirmsWithdrawals by the
+// successor.
 type handoverHello struct {
 	PolicyNow decide.Time `json:"now"` // time of the predecessor's policy, which the successor's continues
 	// Clock is the reading of the predecessor's clock that PolicyNow belongs to. Earlier releases send
 	// none; the times in their records are Unix microseconds.
 	Clock clock.Reading `json:"clock,omitzero"`
+	// ConfirmsWithdrawals: the successor confirms the withdrawal of a message. Earlier releases do not.
+	ConfirmsWithdrawals bool `json:"confirms_withdrawals,omitempty"`
 }
 
 // handoverState is the predecessor's state that is not in its log.
@@ -90,24 +93,6 @@
 	Err          string         `json:"err,omitempty"`
 }
 
-// handoverPut is a message handed in by a client that is still connected to the predecessor.
-type handoverPut struct {
-	Record *record `json:"rec"`
-	Body   []byte  `json:"body"`
-}
-
-// handoverReply is the reply to the client of a handoverPut.
-type handoverReply struct {
-	ID    string `json:"id"`
-	Reply string `json:"reply"`
-}
-
-// handoverReplyWritten reports whether the client received the reply.
-type handoverReplyWritten struct {
-	ID      string `json:"id"`
-	Written bool   `json:"ok"`
-}
-
 // peer is the connection to the other process of a hand-over.
 type peer struct {
 	conn        net.Conn
@@ -117,6 +102,8 @@
 	gone        bool                   // the other process is gone; used by the loop alone
 	pendingPuts map[string]*putRequest // by id, those whose ReplyWritten has not arrived; used by the loop alone
 	logClock    logClock               // clock of the instants in the records that it hands over
+	// confirmsWithdrawals: a successor that sends a handoverWithdrawal when asked; used by the loop alone.
+	confirmsWithdrawals bool
 }
 
 // newPeer starts reading and writing conn. It calls receive with each message of the other process,
@@ -207,7 +194,7 @@
 		return nil
 	}
 	p := newPeer(conn, func(p *peer, msg *handoverMessage) { r.inbox.put(event{peer: p, peerMessage: msg}) })
-	p.send(handoverMessage{Hello: &handoverHello{}})
+	p.send(handoverMessage{Hello: &handoverHello{ConfirmsWithdrawals: true}})
 	msg := r.awaitMessage(p, helloTimeout)
 	if msg == nil || msg.Hello == nil {
 		r.log.Warn("upgrade: the predecessor does not reply; starting without a hand-over")
@@ -382,6 +369,7 @@
 	case msg.Hello != nil && r.successor == nil && r.stoppingSince.IsZero():
 		r.log.Info("upgrade: a successor has connected")
 		r.successor = p
+		p.confirmsWithdrawals = msg.Hello.ConfirmsWithdrawals
 		r.setOtherProcessRuns(true)
 		reading := clock.Read(r.clock)
 		p.send(handoverMessage{Hello: &handoverHello{PolicyNow: r.policyTime(reading.Now), Clock: reading}})
@@ -408,27 +396,11 @@
 			r.handleCallResult(m.call, m, result)
 		}
 	case msg.Put != nil && msg.Put.Record != nil:
-		rec := msg.Put.Record
-		rec.Kind, rec.body = recordAccepted, msg.Put.Body
-		now := clock.Read(r.clock)
-		if conversion := r.predecessor.logClock.convert(now); !conversion.SameClock {
-			rec.convert(conversion, now.Now)
-		}
-		req := &putRequest{record: rec}
-		predecessor := r.predecessor
-		req.forward = func(reply string) {
-			r.inbox.put(event{forwarded: req, reply: reply})
-			predecessor.send(handoverMessage{Reply: &handoverReply{rec.ID, reply}})
-		}
-		predecessor.pendingPuts[rec.ID] = req
-		r.admit(req)
+		r.admitForwarded(r.predecessor, msg.Put)
 	case msg.Reload:
 		go r.rereadConfig(r.reload)
 	case msg.ReplyWritten != nil:
-		if req := r.predecessor.pendingPuts[msg.ReplyWritten.ID]; req != nil {
-			delete(r.predecessor.pendingPuts, msg.ReplyWritten.ID)
-			r.replyWritten(req, msg.ReplyWritten.Written)
-		}
+		r.forwardedReplyWritten(r.predecessor, msg.ReplyWritten)
 	}
 }
 
@@ -494,6 +466,8 @@
 	listener.SetDeadline(clock.ExpiredDeadline)
 	timeout := time.NewTimer(handOverTimeout)
 	defer timeout.Stop()
+	// Events that wait until the hand-over has ended, in their order. Among them are the withdrawals of messages
+	// that are deferred too.
 	var deferred, batch []event
 	logTaken, gone := false, false
 	waitUntil := func(done func() bool) bool {
@@ -506,7 +480,7 @@
 			batch = r.inbox.takeAll(batch)
 			for _, ev := range batch {
 				switch {
-				case ev.replied != nil || ev.unlogged != nil:
+				case ev.replied != nil && r.unanswered[ev.replied] != nil || ev.unlogged != nil:
 					r.handleEvent(ev)
 				case ev.peer == p && ev.peerMessage == nil:
 					gone = true
@@ -601,12 +575,12 @@
 	for _, msg := range r.messages {
 		byID[msg.rec.ID] = msg
 	}
-	forwarded := map[string]*putRequest{}
+	forwarded := newForwardedPuts(r.successor)
 	tick := time.NewTicker(20 * time.Millisecond)
 	defer tick.Stop()
 	var batch []event
 	reading := true
-	for successorGone := false; ; {
+	for {
 		select {
 		case <-r.inbox.ready:
 		case <-tick.C:
@@ -614,27 +588,17 @@
 		batch = r.inbox.takeAll(batch)
 		for _, ev := range batch {
 			switch {
-			case ev.submitted != nil && successorGone:
-				ev.submitted.sendReply(resp.Busy(shutdownRetryMS))
-			case ev.submitted != nil && forwarded[ev.submitted.record.ID] != nil:
-				ev.submitted.sendReply(resp.Error(errors.New("id is being handed in already")))
 			case ev.submitted != nil:
-				forwarded[ev.submitted.record.ID] = ev.submitted
-				r.successor.send(handoverMessage{Put: &handoverPut{ev.submitted.record, ev.submitted.record.body}})
+				forwarded.submit(ev.submitted)
 			case ev.replied != nil:
-				r.successor.send(handoverMessage{ReplyWritten: &handoverReplyWritten{ev.replied.record.ID, ev.ok}})
+				forwarded.replyWritten(ev.replied, ev.ok)
 			case ev.peer == r.successor && ev.peerMessage == nil:
-				r.log.Error("upgrade: the successor is gone after it took over")
-				successorGone = true
-				for id, req := range forwarded {
-					req.sendReply(resp.Busy(shutdownRetryMS))
-					delete(forwarded, id)
-				}
+				r.log.Error("upgrade: the successor is gone after it took over", "unsettled", forwarded.count())
+				forwarded.successorGone()
 			case ev.peer == r.successor && ev.peerMessage.Reply != nil:
-				if req := forwarded[ev.peerMessage.Reply.ID]; req != nil {
-					delete(forwarded, ev.peerMessage.Reply.ID)
-					req.sendReply(ev.peerMessage.Reply.Reply)
-				}
+				forwarded.replyReceived(ev.peerMessage.Reply.ID, ev.peerMessage.Reply.Reply)
+			case ev.peer == r.successor && ev.peerMessage.Withdrawn != nil:
+				forwarded.withdrawalConfirmed(ev.peerMessage.Withdrawn.ID, ev.peerMessage.Withdrawn.Reply)
 			case ev.peer == r.successor && ev.peerMessage.Cancel != "":
 				if msg := byID[ev.peerMessage.Cancel]; msg != nil && msg.call != nil {
 					msg.call.cancel(errCancelled)
@@ -660,7 +624,7 @@
 		}
 		timedOut := !r.stoppingSince.IsZero() && clock.Since(r.clock, r.stoppingSince) >= exitAfter
 		if openClients := r.clients.count(); timedOut ||
-			(r.callsInFlight == 0 || successorGone) && len(forwarded) == 0 && openClients == 0 {
+			(r.callsInFlight == 0 || forwarded.gone) && forwarded.count() == 0 && openClients == 0 {
 			r.log.Info("upgrade: finished after hand-over", "calls", r.callsInFlight, "clients", openClients)
 			r.successor.flush()
 			return
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -530,7 +530,7 @@
 		req.sendReply(resp.OK)
 		return
 	case existing != nil:
-		req.sendReply(resp.Error(errors.New("id is being handed in already")))
+		req.sendReply(resp.Error(errIDInUse))
 		return
 	case r.endedReplies.reply(req.record.ID) != "":
 		// It was accepted and has ended. Accepted once more, it could run a second time.
@@ -570,11 +570,14 @@
 func (r *Relay) replyWritten(req *putRequest, written bool) {
 	msg := r.unanswered[req]
 	if msg == nil {
+		if !written {
+			req.finishWithdrawal("")
+		}
 		return
 	}
 	delete(r.unanswered, req)
 	if !written {
-		r.withdraw(msg)
+		r.withdraw(msg, func() { req.finishWithdrawal(resp.Busy(0)) })
 		return
 	}
 	msg.acknowledged = true
@@ -591,17 +594,21 @@
 
 // handleUnlogged refuses a message that could not be logged.
 func (r *Relay) handleUnlogged(req *putRequest) {
-	if m := r.unanswered[req]; m != nil {
-		delete(r.unanswered, req)
-		r.withdraw(m)
+	msg := r.unanswered[req]
+	if msg == nil {
+		return // withdrawn, and refused for that
 	}
-	req.sendReply(resp.Busy(logFailureRetryMS))
+	delete(r.unanswered, req)
+	r.withdraw(msg, func() { req.sendReply(resp.Busy(logFailureRetryMS)) })
 }
 
-// withdraw ends a message whose client was not told that it is accepted: nobody is owed its outcome.
-func (r *Relay) withdraw(msg *message) {
+// withdraw ends a message whose client was not told that it is accepted: nobody is owed its outcome. refuse is called
+// once the log shows that the message has ended, since the next process delivers what the log holds.
+func (r *Relay) withdraw(msg *message, refuse func()) {
 	if msg.logged {
-		r.wal.submit(&record{Kind: recordEnd, ID: msg.rec.ID}, nil)
+		r.wal.submit(&record{Kind: recordEnd, ID: msg.rec.ID}, func(error) { refuse() })
+	} else {
+		refuse()
 	}
 	msg.pendingNotice = nil
 	if !msg.ended {
--- a/internal/relay/start.go
+++ b/internal/relay/start.go
@@ -66,7 +66,7 @@
 }
 
 // refuseMessages refuses messages from clients for the given time. It returns deferred with all other
-// events appended, except a stop, which is handled at once.
+// events appended, except a stop and the departure of a client, which are handled at once.
 func (r *Relay) refuseMessages(wait time.Duration, deferred []event) []event {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
@@ -78,9 +78,7 @@
 		}
 		for _, ev := range r.inbox.takeAll(nil) {
 			switch {
-			case ev.submitted != nil:
-				r.admit(ev.submitted)
-			case ev.stop:
+			case ev.submitted != nil || ev.replied != nil || ev.stop:
 				r.handleEvent(ev)
 			default:
 				deferred = append(deferred, ev)
--- a/internal/relay/wal.go
+++ b/internal/relay/wal.go
@@ -697,7 +697,7 @@
 	}
 	switch {
 	case op.onDone == nil:
-	case err == errPostponed:
+	case err == errPostponed || op.rec.Kind == recordEnd && w.isPostponed(op.rec):
 		w.whenLastWritten(func() { op.onDone(nil) })
 	default:
 		op.onDone(err)
--- a/internal/relay/walhealth.go
+++ b/internal/relay/walhealth.go
@@ -240,6 +240,8 @@
 		h.postponed = slices.DeleteFunc(h.postponed, func(old postponedRecord) bool {
 			return old.rec != nil && old.rec.Kind == recordOutage && old.rec.ID == rec.ID
 		})
+	case recordEnd:
+		p.callBy = w.pending[rec.ID].rec.Deadline
 	case recordEnding:
 		p.callBy = w.pending[rec.ID].rec.Deadline
 		result = errPostponed
@@ -268,9 +270,15 @@
 	return false
 }
 
-// whenLastWritten calls onWritten once the last postponed record is written. If that is a recordEnding
-// and still not written at the deadline of its message, onWritten is called at the next retry: after the
-// deadline no later process would send the message any more.
+// isPostponed reports whether rec is the newest postponed record.
+func (w *wal) isPostponed(rec *record) bool {
+	last := len(w.health.postponed) - 1
+	return last >= 0 && w.health.postponed[last].rec == rec
+}
+
+// whenLastWritten calls onWritten once the last postponed record is written. If that is a recordEnding or a recordEnd
+// and still not written at the deadline of its message, onWritten is called at the next retry: after the deadline no
+// later process would send the message any more.
 func (w *wal) whenLastWritten(onWritten func()) {
 	if last := len(w.health.postponed) - 1; last >= 0 {
 		w.health.postponed[last].onWritten = onWritten
