Keep the shared listening socket non-blocking

Seen: in a test of the hand-over a process that had handed over did not end within 20 s after SIGTERM.

Cause: the platform passes the clients' socket to each process, which may clear the non-blocking mode that all of them share. The next accept blocks in the system call, and TCPListener.Close waits for it in the event loop. SIGQUIT showed the loop there; the hand-over itself had finished.

Change: the mode is set again before each accept.

--- a/internal/relay/start.go
+++ b/internal/relay/start.go
@@ -58,7 +58,7 @@
 	case err == nil:
 		r.listener = listener
 		r.setOtherProcessRuns(r.otherProcessRuns)
-		go r.clients.serve(listener)
+		go r.clients.serve(sharedListener{listener})
 	case !errors.Is(err, syscall.EADDRINUSE):
 		r.listenErr = err
 		r.log.Error("cannot listen for clients while the state folder fails", "err", err)
@@ -106,7 +106,7 @@
 		return nil, err
 	}
 	r.listener = listener
-	go r.clients.serve(listener)
+	go r.clients.serve(sharedListener{listener})
 	return listener, nil
 }
 
