Bound the memory of the commands of all clients together

Cause: the number of client connections follows from the descriptors, and each of them may hold a command of 124 KiB, in a buffer that doubles to 128 KiB for a body of 64 KiB. Ruled out: idle connections (738 take 2 MB).

Change: commands share an eighth of the memory from their first byte until they are answered, beside 4 KiB of each. A longer one waits, unread; connections that hold memory and have stalled are evicted meanwhile. Buffers never exceed their argument.

Existing tests changed in the new argument of resp.ReadCommand alone.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -16,6 +17,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"troutusher/internal/clock"
 	"troutusher/internal/resp"
 )
@@ -178,6 +181,9 @@
 	mu                sync.Mutex
 	cfg               *Config
 	maxConns          int
+	commandMemory     *semaphore.Weighted  // bytes that commands may take
+	awaitedBytes      int64                // bytes of commandMemory that commands wait for
+	relievingMemory   bool                 // relieveMemory runs
 	conns             map[*clientConn]bool // connections whose descriptors are in use, closing ones included
 	evictions         evictionCounts       // since evictionsLoggedAt
 	evictionsLoggedAt clock.Instant
@@ -202,6 +208,11 @@
 	idleSince         clock.Instant
 	sentCommand       bool // a whole command has been read
 	closing           bool // the connection is closed once no request is in flight
+
+	readDeadline     clock.Instant      // of the reads, if they have one
+	readInterrupted  bool               // the reads fail as if their deadline had passed
+	reservedBytes    int64              // memory that the command being read has reserved
+	cancelMemoryWait context.CancelFunc // ends that command's wait for memory; nil if it does not wait
 }
 
 // Read reads from the connection and records the time of each read that returns data.
@@ -216,26 +227,44 @@
 // lastRead returns the time of the latest read that returned data.
 func (cc *clientConn) lastRead() clock.Instant { return clock.Instant(cc.lastReadAt.Load()) }
 
-// readUntil sets the read deadline.
+// readUntil sets the read deadline. The caller holds clients.mu, as with the next two functions.
 func (cc *clientConn) readUntil(at clock.Instant) {
+	cc.readDeadline, cc.readInterrupted = at, false
 	cc.SetReadDeadline(clock.DeadlineIn(clock.Until(cc.clock, at)))
 }
 
+// readWithoutDeadline removes the read deadline.
+func (cc *clientConn) readWithoutDeadline() {
+	cc.readDeadline, cc.readInterrupted = 0, false
+	cc.SetReadDeadline(time.Time{})
+}
+
+// interruptRead lets all reads fail as if their deadline had passed.
+func (cc *clientConn) interruptRead() {
+	cc.readInterrupted = true
+	cc.SetReadDeadline(clock.ExpiredDeadline)
+	if cc.cancelMemoryWait != nil {
+		cc.cancelMemoryWait()
+	}
+}
+
 // beginClose ends the wait for the next request permanently, which closes the connection. Other goroutines close a
 // connection only in this way, so that a request whose first byte has been read is answered first. The caller holds
 // clients.mu.
 func (cc *clientConn) beginClose() {
 	cc.closing = true
-	cc.SetReadDeadline(clock.ExpiredDeadline)
+	cc.interruptRead()
 }
 
 // newClients returns the server side of the client protocol. It accepts no connections before serve is called.
 func newClients(cfg *Config, clk clock.Clock, log *slog.Logger, submit func(*putRequest),
 	replyWritten func(*putRequest, bool)) *clients {
 	maxConns, _ := cfg.socketBudget()
-	return &clients{cfg: cfg, clock: clk, log: log, submit: submit, replyWritten: replyWritten, maxConns: maxConns,
+	c := &clients{cfg: cfg, clock: clk, log: log, submit: submit, replyWritten: replyWritten, maxConns: maxConns,
 		firstCommandTimeout: firstCommandTimeout, commandTimeout: cmp.Or(cfg.commandTimeout, commandTimeout),
 		idleTimeout: idleTimeout, conns: map[*clientConn]bool{}}
+	c.limitCommandMemory(cfg.commandMemory())
+	return c
 }
 
 // serve accepts connections until the listener is closed.
@@ -498,9 +527,9 @@
 		return
 	}
 	if cc.sentCommand { // the deadline of the first command was set when the connection was accepted
-		cc.SetReadDeadline(clock.DeadlineIn(c.commandTimeout))
+		cc.readUntil(c.clock.Now().Add(c.commandTimeout))
 	} else if cc.closing {
-		cc.SetReadDeadline(clock.DeadlineIn(c.firstCommandTimeout))
+		cc.readUntil(c.clock.Now().Add(c.firstCommandTimeout))
 	}
 }
 
@@ -508,7 +537,7 @@
 func (c *clients) commandRead(cc *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	cc.sentCommand, cc.readingCommand = true, false
+	cc.sentCommand, cc.readingCommand, cc.reservedBytes = true, false, 0
 	c.awaitRequest(cc)
 }
 
@@ -517,9 +546,9 @@
 func (c *clients) awaitRequest(cc *clientConn) {
 	switch {
 	case cc.readStopped || cc.closing || c.draining() && cc.inFlight == 0:
-		cc.SetReadDeadline(clock.ExpiredDeadline)
+		cc.interruptRead()
 	case cc.inFlight > 0:
-		cc.SetReadDeadline(time.Time{})
+		cc.readWithoutDeadline()
 	default:
 		cc.readUntil(cc.idleSince.Add(c.idleTimeout))
 	}
@@ -551,15 +580,16 @@
 	if cc.readStopped {
 		return false
 	}
-	cc.SetReadDeadline(clock.DeadlineIn(c.commandTimeout))
+	cc.readUntil(c.clock.Now().Add(c.commandTimeout))
 	return true
 }
 
 // clientCommand is a command that was read from a connection, or the error of reading it.
 type clientCommand struct {
-	args   [][]byte
-	err    error
-	readAt clock.Instant
+	args        [][]byte
+	err         error
+	readAt      clock.Instant
+	reservation *commandReservation // of the memory of args, to be released once the command is answered
 }
 
 // handleConn answers the commands of one connection in their order. A separate goroutine reads them, so that a client
@@ -579,7 +609,13 @@
 				return
 			}
 			c.beginRequest(cc)
-			args, err := resp.ReadCommand(reader)
+			reservation := c.newReservation(cc)
+			args, err := resp.ReadCommand(reader, func(bytes int) error {
+				return c.reserve(cc, reservation, int64(bytes))
+			})
+			if err != nil {
+				reservation.release()
+			}
 			switch {
 			case err == nil || err == resp.ErrTooLong:
 				c.commandRead(cc)
@@ -588,7 +624,7 @@
 			case errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, new(net.Error)):
 				return // the client has disconnected
 			}
-			commands <- clientCommand{args, err, c.clock.Now()}
+			commands <- clientCommand{args, err, c.clock.Now(), reservation}
 			if err != nil && err != resp.ErrTooLong {
 				return
 			}
@@ -608,6 +644,7 @@
 			}
 			ok := false
 			ok, next = c.handleCommand(cc, cmd, commands)
+			cmd.reservation.release()
 			if !ok {
 				pipelined = next
 				return
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -349,13 +349,17 @@
 	minSockets      = 64                    // the fewest with which a relay can work
 )
 
+// clientConnBytes is the memory for one client connection: its stacks and buffers, the unreserved bytes of its
+// commands, and what waits to be collected of earlier ones.
+const clientConnBytes = 64 << 10
+
 // socketBudget splits the available descriptors between clients and endpoints. Each call in flight needs
 // one, so the endpoints get at least as many as there are slots, unless that leaves the clients less
-// than half.
+// than half. Clients get no more than there is memory for.
 func (c *Config) socketBudget() (clients, endpoints int) {
 	free := c.Limits.Sockets - reservedSockets
 	endpoints = min(max(free/4, c.Policy.Slots+8), free/2)
-	return free - endpoints, endpoints
+	return min(free-endpoints, c.Limits.MemoryMB<<20/clientConnBytes), endpoints
 }
 
 // isKeyed reports whether the messages of a class carry idempotency keys.
--- a/internal/relay/fuzz_put_test.go
+++ b/internal/relay/fuzz_put_test.go
@@ -71,7 +71,7 @@
 	f.Add([]byte("*2\r\n$-1\r\n$"))
 	cfg := &Config{classes: map[string]int{}, tenants: map[string]int{}}
 	f.Fuzz(func(t *testing.T, input []byte) {
-		args, err := resp.ReadCommand(bufio.NewReader(bytes.NewReader(input)))
+		args, err := resp.ReadCommand(bufio.NewReader(bytes.NewReader(input)), nil)
 		if err != nil {
 			return
 		}
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -432,10 +432,11 @@
 	clients, endpoints := r.socketBudget()
 	r.clients.reconfigure(r.cfg, clients)
 	r.pool.configure(&r.cfg.Policy, endpoints)
-	limit := memoryLimit(r.cfg)
+	limit, commandMemory := memoryLimit(r.cfg), r.cfg.commandMemory()
 	if runs {
-		limit /= 2
+		limit, commandMemory = limit/2, commandMemory/2
 	}
+	r.clients.limitCommandMemory(commandMemory)
 	debug.SetMemoryLimit(limit)
 	if runs {
 		debug.FreeOSMemory()
--- a/internal/relay/hangup.go
+++ b/internal/relay/hangup.go
@@ -43,7 +43,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cc.readStopped = true
-	cc.SetReadDeadline(clock.ExpiredDeadline)
+	cc.interruptRead()
 }
 
 // replyToRemaining stops the reading goroutine of a connection that is being closed, and answers the commands that it
@@ -58,6 +58,11 @@
 	for cmd := range commands {
 		remaining = append(remaining, cmd)
 	}
+	defer func() {
+		for _, cmd := range remaining {
+			cmd.reservation.release()
+		}
+	}()
 	last := len(remaining) - 1
 	for last >= 0 && !isPut(remaining[last]) {
 		last--
--- a/internal/relay/ops_test.go
+++ b/internal/relay/ops_test.go
@@ -152,7 +152,7 @@
 	waitFor(t, "the request to be found after the read deadline", func() bool {
 		return server.requestArrived(serverConn, err)
 	})
-	if args, err := resp.ReadCommand(bufio.NewReader(serverConn)); err != nil || string(args[0]) != "PING" {
+	if args, err := resp.ReadCommand(bufio.NewReader(serverConn), nil); err != nil || string(args[0]) != "PING" {
 		t.Errorf("got command %q and error %v, want PING", args, err)
 	}
 }
--- a/internal/resp/fuzz_read_test.go
+++ b/internal/resp/fuzz_read_test.go
@@ -58,7 +58,7 @@
 	used := allocated(limit, func() {
 		source := bytes.NewReader(input)
 		reader := bufio.NewReader(source)
-		args, err = ReadCommand(reader)
+		args, err = ReadCommand(reader, nil)
 		consumed = input[:len(input)-source.Len()-reader.Buffered()]
 	})
 	if used > limit {
@@ -97,7 +97,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			checkCommand(t, []byte(test.text))
-			if _, err := ReadCommand(bufio.NewReader(strings.NewReader(test.text))); !errors.Is(err, test.err) {
+			if _, err := ReadCommand(bufio.NewReader(strings.NewReader(test.text)), nil); !errors.Is(err, test.err) {
 				t.Errorf("got error %v, want %v", err, test.err)
 			}
 		})
@@ -124,7 +124,7 @@
 	f.Add([]byte("*1\r\n$4\r\nPING\r\n"))
 	f.Add([]byte("*2\r\n$-1\r\n$"))
 	f.Fuzz(func(t *testing.T, input []byte) {
-		args, err := ReadCommand(bufio.NewReader(bytes.NewReader(input)))
+		args, err := ReadCommand(bufio.NewReader(bytes.NewReader(input)), nil)
 		if err != nil {
 			return
 		}
--- a/internal/resp/read.go
+++ b/internal/resp/read.go
@@ -4,12 +4,12 @@
 // error.
 //
 // The reader bounds every size before memory is spent on it, and memory for a
-// long argument grows as its bytes arrive, not when its length is announced.
+// long argument grows as its bytes arrive, not when its length is announced. The
+// memory that all commands take together is bounded by the caller, see Reserve.
 package resp
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"strconv"
@@ -21,8 +21,14 @@
 	MaxArgument  = 4 << 10  // bytes of an argument other than the last
 	MaxBody      = 64 << 10 // bytes of the last argument
 	MaxSkipped   = 1 << 20  // bytes of an oversized argument that is discarded so that reading can continue
+
+	MaxCommand = (MaxArguments-1)*MaxArgument + MaxBody // bytes of all arguments together
 )
 
+// Reserve is called while a command is read, before its arguments take n more bytes of memory. It may
+// wait, and an error ends the reading.
+type Reserve func(n int) error
+
 const (
 	maxLengthLine = 32 // bytes of a line that announces a length, its CRLF included
 	arrayPrefix   = '*'
@@ -31,15 +37,15 @@
 )
 
 // ReadCommand reads one command and returns its arguments, the command's name
-// first.
+// first. A nil reserve lets it take up to MaxCommand bytes.
 //
 // After ErrTooLong the whole command has been discarded and the next one can be
 // read. After any other error the position in the input is undefined and r must
 // not be used any more: the error is io.EOF where the input ended before a
 // command, io.ErrUnexpectedEOF where it ended inside one, a LengthError,
 // ArgumentCountError, ArgumentSizeError or ErrUnterminated where the input is
-// malformed, or else the reader's own error.
-func ReadCommand(r *bufio.Reader) ([][]byte, error) {
+// malformed, or else the error of the reader or of reserve.
+func ReadCommand(r *bufio.Reader, reserve Reserve) ([][]byte, error) {
 	count, err := readLength(r, arrayPrefix)
 	if err != nil {
 		return nil, err
@@ -47,7 +53,10 @@
 	if count < 1 || count > MaxArguments {
 		return nil, ArgumentCountError(count)
 	}
-	args, err := readArguments(r, count)
+	if reserve == nil {
+		reserve = func(int) error { return nil }
+	}
+	args, err := readArguments(r, count, reserve)
 	if err != nil {
 		return nil, unexpectedEOF(err)
 	}
@@ -56,7 +65,7 @@
 
 // readArguments reads the arguments of a command. Where one of them is too long
 // it still reads those that follow, and returns ErrTooLong.
-func readArguments(r *bufio.Reader, count int) ([][]byte, error) {
+func readArguments(r *bufio.Reader, count int, reserve Reserve) ([][]byte, error) {
 	args := make([][]byte, 0, count)
 	tooLong := false
 	for i := range count {
@@ -64,7 +73,7 @@
 		if i == count-1 {
 			limit = MaxBody
 		}
-		arg, err := readBulkString(r, limit)
+		arg, err := readBulkString(r, limit, reserve)
 		switch {
 		case errors.Is(err, ErrTooLong):
 			tooLong = true
@@ -82,7 +91,7 @@
 
 // readBulkString reads a bulk string of at most limit bytes. A longer one of up
 // to MaxSkipped bytes is discarded and reported as ErrTooLong.
-func readBulkString(r *bufio.Reader, limit int) ([]byte, error) {
+func readBulkString(r *bufio.Reader, limit int, reserve Reserve) ([]byte, error) {
 	size, err := readLength(r, bulkPrefix)
 	if err != nil {
 		return nil, err
@@ -93,7 +102,7 @@
 	if size > limit {
 		return nil, skipBytes(r, size)
 	}
-	arg, err := readBytes(r, size)
+	arg, err := readBytes(r, size, reserve)
 	if err != nil {
 		return nil, err
 	}
@@ -112,17 +121,30 @@
 	return ErrTooLong
 }
 
-// readBytes reads the bytes of a bulk string. The memory for one above
-// MaxArgument is allocated as its bytes arrive.
-func readBytes(r *bufio.Reader, size int) ([]byte, error) {
-	if size <= MaxArgument {
-		arg := make([]byte, size)
-		_, err := io.ReadFull(r, arg)
+// readBytes reads the bytes of a bulk string. What follows the first MaxArgument bytes is reserved as a whole once
+// those have arrived, so that commands do not wait for each other's memory with half a body each. It is allocated as
+// its bytes arrive.
+func readBytes(r *bufio.Reader, size int, reserve Reserve) ([]byte, error) {
+	first := min(size, MaxArgument)
+	if err := reserve(first); err != nil {
+		return nil, err
+	}
+	arg := make([]byte, first)
+	if _, err := io.ReadFull(r, arg); err != nil || size == first {
 		return arg, err
 	}
-	var b bytes.Buffer
-	_, err := io.CopyN(&b, r, int64(size))
-	return b.Bytes(), err
+	if err := reserve(size - first); err != nil {
+		return nil, err
+	}
+	for read := first; read < size; read = len(arg) {
+		longer := make([]byte, min(2*read, size))
+		copy(longer, arg)
+		arg = longer
+		if _, err := io.ReadFull(r, arg[read:]); err != nil {
+			return nil, err
+		}
+	}
+	return arg, nil
 }
 
 // readEnd reads the CRLF that ends a bulk string.
--- a/internal/resp/read_test.go
+++ b/internal/resp/read_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -33,7 +34,7 @@
 		"*2\r\n$4097\r\n" + skipped + "$x\r\n": {LengthError('$'), "expected '$' and a number"},
 		"*2\r\n$4097\r\n" + skipped:            {io.ErrUnexpectedEOF, "unexpected EOF"},
 	} {
-		args, err := ReadCommand(bufio.NewReader(strings.NewReader(input)))
+		args, err := ReadCommand(bufio.NewReader(strings.NewReader(input)), nil)
 		if args != nil || err != want.err || err.Error() != want.text {
 			t.Errorf("%.40q: got %d arguments and error %v, want no arguments and error %v", input, len(args), err, want.text)
 		}
@@ -46,10 +47,10 @@
 // TestNextCommandAfterOneTooLong: after ErrTooLong the next command can be read.
 func TestNextCommandAfterOneTooLong(t *testing.T) {
 	reader := bufio.NewReader(strings.NewReader("*2\r\n$4097\r\n" + skipped + "$1\r\nb\r\n" + "*1\r\n$4\r\nPING\r\n"))
-	if args, err := ReadCommand(reader); args != nil || err != ErrTooLong {
+	if args, err := ReadCommand(reader, nil); args != nil || err != ErrTooLong {
 		t.Errorf("got %d arguments and error %v, want no arguments and error %v", len(args), err, ErrTooLong)
 	}
-	if args, err := ReadCommand(reader); err != nil || len(args) != 1 || string(args[0]) != "PING" {
+	if args, err := ReadCommand(reader, nil); err != nil || len(args) != 1 || string(args[0]) != "PING" {
 		t.Errorf("next command: got %q and error %v, want PING", args, err)
 	}
 }
@@ -71,7 +72,7 @@
 			for b.Loop() {
 				source.Reset(text)
 				reader.Reset(source)
-				ReadCommand(reader)
+				ReadCommand(reader, nil)
 			}
 		})
 	}
@@ -94,3 +95,33 @@
 		}
 	})
 }
+
+// TestReservations: the memory of all arguments is reserved before it is used, what follows the first MaxArgument bytes
+// in one piece, and a refused reservation ends the reading.
+func TestReservations(t *testing.T) {
+	input := "*2\r\n$3\r\nPUT\r\n$10000\r\n" + strings.Repeat("b", 10000) + "\r\n"
+	var reserved []int
+	args, err := ReadCommand(bufio.NewReader(strings.NewReader(input)), func(n int) error {
+		reserved = append(reserved, n)
+		return nil
+	})
+	if err != nil || len(args) != 2 || len(args[1]) != 10000 {
+		t.Errorf("got %d arguments and error %v, want 2 and none", len(args), err)
+	}
+	if want := []int{3, MaxArgument, 10000 - MaxArgument}; !slices.Equal(reserved, want) {
+		t.Errorf("reserved: got %v bytes, want %v", reserved, want)
+	}
+	refused := errors.New("refused")
+	for allowed := range 3 {
+		calls := 0
+		args, err := ReadCommand(bufio.NewReader(strings.NewReader(input)), func(int) error {
+			if calls++; calls > allowed {
+				return refused
+			}
+			return nil
+		})
+		if args != nil || !errors.Is(err, refused) {
+			t.Errorf("reservation %d refused: got %d arguments and error %v, want none and its error", allowed, len(args), err)
+		}
+	}
+}
