Let connections rest longer at endpoints that have sent surplus bytes

Cause: a connection rests 5 ms, and the last byte of a request waits 3 ms; what comes later crosses the next request, and HTTP/1.1 tells them apart by nothing. Ruled out: a surplus in the same segment or within the rest, which is seen.

Change: the connections of an endpoint rest 100 ms once it has sent a surplus, until it has sent none for a minute.

Without the longer rest TestConnectionRestsAfterSurplus fails (2 connections where 3 are wanted); with it, it passed 20 of 20 times. TestGoodResponsesWithSurplus held before (10 of 10) and fails where surplus bytes are not looked for.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -363,7 +363,7 @@
 			return conn, req, items, 0, nil
 		}
 		unwatch()
-		conn.discard()
+		conn.discardUnsent()
 		c.revertCommit()
 		if err == errMessageRemoved {
 			connsLeft++ // the connection did not fail
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -26,7 +26,11 @@
 	// connReuseDelay is how long a connection stays unused after a call. Surplus bytes that an endpoint sends after a
 	// response arrive with it or straight after, and must be seen before the connection carries another call.
 	connReuseDelay = 5 * time.Millisecond
-	lastByteDelay  = 3 * time.Millisecond // see poolConn.writeRequest
+	// surplusReuseDelay takes the place of connReuseDelay at an endpoint that has sent surplus bytes within
+	// surplusMemory: its next ones may come later than the last.
+	surplusReuseDelay = 100 * time.Millisecond
+	surplusMemory     = time.Minute
+	lastByteDelay     = 3 * time.Millisecond // see poolConn.writeRequest
 )
 
 var (
@@ -53,6 +57,8 @@
 	addr   string
 	dial   func(ctx context.Context, addr string) (net.Conn, error)
 	closed bool // guarded by pool.mu: connections are closed when they are put back
+	// surplusAt is when the endpoint last sent bytes that belong to no call; zero for never. Guarded by pool.mu.
+	surplusAt clock.Instant
 }
 
 // poolConn is one connection, which is idle or held by one call.
@@ -124,7 +130,7 @@
 			return
 		case <-tick.C:
 			now := p.clock.Now()
-			p.sweep(func(c *poolConn) bool { return p.idleTooLong(c, now) || !c.isClean() }) // sweep holds mu
+			p.sweep(func(c *poolConn) bool { return p.idleTooLong(c, now) || !c.checkIdle(now) }) // sweep holds mu
 		}
 	}
 }
@@ -163,6 +169,18 @@
 	p.closeLocked(c)
 }
 
+// discardUnsent closes a connection to which the last byte of a request was not written. Data that it has received is
+// surplus then.
+func (c *poolConn) discardUnsent() {
+	p := c.host.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.hasData() {
+		c.host.surplusAt = p.clock.Now()
+	}
+	p.closeLocked(c)
+}
+
 // get returns the most recently used connection that is idle and clean, or a new one.
 func (h *hostPool) get(ctx context.Context) (*poolConn, error) {
 	p := h.pool
@@ -170,11 +188,11 @@
 	now := p.clock.Now()
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
-		if c.host != h || now.Sub(c.idleSince) < connReuseDelay {
+		if c.host != h || now.Sub(c.idleSince) < h.reuseDelay(now) {
 			continue
 		}
 		p.idle = append(p.idle[:i], p.idle[i+1:]...)
-		if !p.idleTooLong(c, now) && c.isClean() {
+		if !p.idleTooLong(c, now) && c.checkIdle(now) {
 			c.priorCalls, c.idleTime = c.priorCalls+1, now.Sub(c.idleSince)
 			p.mu.Unlock()
 			return c, nil
@@ -209,11 +227,12 @@
 	p := c.host.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.host.closed || !c.isClean() {
+	now := p.clock.Now()
+	if !c.checkIdle(now) || c.host.closed {
 		p.closeLocked(c)
 		return
 	}
-	c.idleSince = p.clock.Now()
+	c.idleSince = now
 	p.idle = append(p.idle, c)
 }
 
@@ -228,6 +247,33 @@
 	h.closeIdle()
 }
 
+// reuseDelay returns how long a connection rests after a call. The caller holds pool.mu.
+func (h *hostPool) reuseDelay(now clock.Instant) time.Duration {
+	if !h.surplusAt.IsZero() && now.Sub(h.surplusAt) < surplusMemory {
+		return surplusReuseDelay
+	}
+	return connReuseDelay
+}
+
+// checkIdle reports whether a connection without a call is clean, and records where its endpoint has sent surplus
+// bytes. The caller holds pool.mu.
+func (c *poolConn) checkIdle(now clock.Instant) bool {
+	if c.hasData() {
+		c.host.surplusAt = now
+		return false
+	}
+	return c.isClean()
+}
+
+// hasData reports whether data has been received that nobody has read.
+func (c *poolConn) hasData() bool {
+	if c.reader.Buffered() > 0 {
+		return true
+	}
+	n, err := peekSocket(c.Conn)
+	return n > 0 && err == nil
+}
+
 // isClean reports whether the connection is open and has no unread data. Whatever arrives before the last byte of a
 // request is written is no response to it, and an end of file means that the endpoint closed the connection.
 func (c *poolConn) isClean() bool {
