Check the attempts of messages that could not be recorded

Seen: the last check of TestAttemptsThatCannotBeRecorded could never fail, since ActSend does not set Action.Attempt, by which it was left out. So "without using up attempts" was not tested.

Change: the check applies to each message sent. It is stricter than before.

Measured: it passes; with an attempt counted for each message held back the test fails (3 messages with 2 attempts), where the old check passed.

--- a/decide/records_test.go
+++ b/decide/records_test.go
@@ -54,7 +54,7 @@
 		t.Fatalf("sent to endpoints %v once attempts can be recorded, want 2, 4 and 5", sentTo())
 	}
 	for _, a := range r.sends {
-		if a.Attempt != 0 && r.policy.messages[a.Message].attempts != 1 {
+		if r.policy.messages[a.Message].attempts != 1 {
 			t.Errorf("message %d has used %d attempts, want 1", a.Message, r.policy.messages[a.Message].attempts)
 		}
 	}
