Move the put command and the limit of connections out of clients.go

clients.go had grown to 735 lines with three jobs. put.go has the command that hands in a message, conn_limit.go the choice of the connection to evict; 500 lines of serving connections stay. Lines were moved and none changed: the sorted lines of the three files differ from those of the old one in 3 constants' spacing, imports and package clauses alone.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -11,8 +11,6 @@
 	"log/slog"
 	"net"
 	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,140 +32,14 @@
 	commandTimeout      = 2600 * time.Millisecond // from the first to the last byte of each later command
 	commandStallTimeout = 300 * time.Millisecond  // after this pause within a command its connection may be evicted
 	idleTimeout         = 4 * time.Second         // from a reply to the first byte of the next command
-	maxDeadlineFactor   = 2                       // limit of a message's time left, in multiples of its class's deadline
-	// A message's time runs from the moment at which the client sent it, which the relay does not learn. The protocol
-	// allows 50 ms for what is sent over sockets. They are subtracted here, so that the tolerance after the deadline
-	// remains for reporting the outcome.
-	transitAllowance        = 50 * time.Millisecond
-	transitAllowanceDivisor = 20 // the allowance is at most the time left divided by this
-	// A connection without a command is not evicted within this time of its accept: its first bytes may not have been
-	// read yet.
-	unreadGracePeriod = 20 * time.Millisecond
 	// Error replies are delayed, and a connection is closed after several in a row, so that a client that repeats an
 	// invalid command does not use up the processor.
 	errorReplyDelay      = 100 * time.Millisecond
 	maxConsecutiveErrors = 10
-	maxConnsOverLimit    = 8 // connections above the limit that may be open while evicted ones close
 )
 
 var errCommandTimeout = errors.New("command not finished in time")
 
-// putRequest is a MSG.PUT command of a client. sendReply is called once.
-type putRequest struct {
-	record   *record
-	timeLeft time.Duration // until the deadline, as the client stated it
-	// Where the client is connected to this process, reply receives the reply. Where it left before that, withdrawal
-	// receives the reply that takes its place; it is empty if the one in reply holds.
-	reply, withdrawal chan string
-
-	// For a request that the predecessor process forwards: forward and forwardWithdrawal send the reply back to that
-	// process, and replied reports whether a reply was sent.
-	forward, forwardWithdrawal func(string)
-	replied                    bool
-}
-
-// newPutRequest returns a request of a client that is connected to this process.
-func newPutRequest(rec *record) *putRequest {
-	return &putRequest{record: rec, reply: make(chan string, 1), withdrawal: make(chan string, 1)}
-}
-
-// sendReply passes the reply on to the client, by way of the predecessor process where that forwarded the request.
-func (r *putRequest) sendReply(reply string) {
-	if r.forward != nil {
-		r.forward(reply)
-		return
-	}
-	r.reply <- reply
-}
-
-// finishWithdrawal is called after replyWritten has reported that the client left before it had its reply. A refusal
-// is passed here only once no process will deliver the message any more.
-func (r *putRequest) finishWithdrawal(reply string) {
-	if r.forward != nil {
-		if r.forwardWithdrawal != nil {
-			r.forwardWithdrawal(reply)
-		}
-		return
-	}
-	r.withdrawal <- reply
-}
-
-// parsePut parses the arguments of a MSG.PUT command that was read at now. The error names the invalid argument or
-// field.
-func (c *Config) parsePut(args [][]byte, now clock.Instant) (*putRequest, error) {
-	if len(args) != 5 {
-		return nil, fmt.Errorf("MSG.PUT takes 4 arguments, %d came", len(args)-1)
-	}
-	id := string(args[2])
-	if !isHeaderToken(id) {
-		return nil, errors.New("id: empty, too long or not plain")
-	}
-	request := newPutRequest(&record{Kind: recordAccepted, ID: id, body: args[4]})
-	values := map[string]string{}
-	for field := range strings.SplitSeq(string(args[3]), ",") {
-		name, value, ok := strings.Cut(field, "=")
-		if !ok {
-			return nil, fmt.Errorf("field %q without a value", field)
-		}
-		values[name] = value
-	}
-	classIndex, ok := c.classes[values["c"]]
-	if !ok {
-		return nil, fmt.Errorf("c: unknown class %q", values["c"])
-	}
-	request.record.Class = values["c"]
-	if _, ok := c.tenants[values["t"]]; !ok && len(c.tenants) > 0 {
-		return nil, fmt.Errorf("t: unknown tenant %q", values["t"])
-	}
-	request.record.Tenant = values["t"]
-	deadlineMS, err := parseMilliseconds(values["d"])
-	if err != nil {
-		return nil, fmt.Errorf("d: %w", err)
-	}
-	if classDeadlineMS := float64(c.Policy.Classes[classIndex].Deadline) / 1000; deadlineMS >
-		maxDeadlineFactor*classDeadlineMS {
-		return nil, fmt.Errorf("d: %v ms, and messages of class %s have %v at most",
-			deadlineMS, request.record.Class, classDeadlineMS)
-	}
-	request.timeLeft = time.Duration(deadlineMS * float64(time.Millisecond))
-	request.record.Deadline = now.Add(request.timeLeft - min(transitAllowance, request.timeLeft/transitAllowanceDivisor))
-	dest, err := strconv.ParseUint(values["dest"], 10, 32)
-	if err != nil {
-		return nil, fmt.Errorf("dest: %.32q is no destination", values["dest"])
-	}
-	request.record.Dest = int(dest)
-	if request.record.Key = values["k"]; request.record.Key != "" && !isHeaderToken(request.record.Key) {
-		return nil, errors.New("k: too long or not plain")
-	}
-	if request.record.Key == "" && c.isKeyed(classIndex) {
-		return nil, errors.New("k: missing in a keyed class")
-	}
-	return request, nil
-}
-
-// parseMilliseconds parses decimal digits with an optional fraction. It rejects signs, exponents and hexadecimal
-// numbers.
-func parseMilliseconds(text string) (float64, error) {
-	integerPart, _, _ := strings.Cut(text, ".")
-	if integerPart == "" || len(text) > 24 || strings.Trim(text, "0123456789.") != "" {
-		return 0, fmt.Errorf("%.32q is no time in milliseconds", text)
-	}
-	return strconv.ParseFloat(text, 64)
-}
-
-// isHeaderToken reports whether s can be an HTTP header value without escaping.
-func isHeaderToken(s string) bool {
-	if s == "" || len(s) > 256 {
-		return false
-	}
-	for i := range len(s) {
-		if s[i] <= ' ' || s[i] > '~' {
-			return false
-		}
-	}
-	return true
-}
-
 // clients is the server side of the client protocol.
 type clients struct {
 	clock  clock.Clock
@@ -304,118 +176,6 @@
 	}
 }
 
-// admitConn adds a connection, and evicts another one where the limit is reached. It reports false where the
-// connection is refused. Connections without a command so far occupy at most half of the limit.
-func (c *clients) admitConn(cc *clientConn) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var oldestSilent, oldestIdle, oldestStalled *clientConn
-	silentCount := 0
-	for other := range c.conns {
-		switch {
-		case other.closing:
-		case other.readingCommand:
-			if oldestStalled == nil || other.lastRead() < oldestStalled.lastRead() {
-				oldestStalled = other
-			}
-		case other.inFlight > 0:
-		case other.sentCommand:
-			if oldestIdle == nil || other.idleSince < oldestIdle.idleSince {
-				oldestIdle = other
-			}
-		default:
-			silentCount++
-			if oldestSilent == nil || other.idleSince < oldestSilent.idleSince {
-				oldestSilent = other
-			}
-		}
-	}
-	if oldestSilent != nil && cc.idleSince.Sub(oldestSilent.idleSince) < unreadGracePeriod {
-		oldestSilent = nil // its first bytes may not have been read yet
-	}
-	if oldestStalled != nil && cc.idleSince.Sub(oldestStalled.lastRead()) < commandStallTimeout {
-		oldestStalled = nil // its client is still writing the command
-	}
-	if tooManySilent := silentCount >= max(c.maxConns/2, 1); tooManySilent || len(c.conns) >= c.maxConns {
-		// A client whose connection is evicted opens another one when it needs it. An evicted connection counts
-		// until its descriptor is free.
-		switch {
-		case oldestSilent != nil:
-			oldestSilent.beginClose()
-			c.evictions.silent++
-		case oldestIdle != nil && !tooManySilent:
-			oldestIdle.evict()
-			c.evictions.idle++
-		case oldestStalled != nil && !tooManySilent:
-			oldestStalled.evict()
-			c.evictions.stalled++
-		default:
-			c.evictions.refused++
-			return false
-		}
-	}
-	if len(c.conns) >= c.maxConns+maxConnsOverLimit {
-		c.evictions.refused++
-		return false
-	}
-	c.conns[cc] = true
-	cc.readUntil(cc.idleSince.Add(c.firstCommandTimeout))
-	return true
-}
-
-// evictionCounts counts the connections that were evicted, by their state, and those that were refused.
-type evictionCounts struct{ silent, idle, stalled, refused int }
-
-// logEvictions logs the counts of evicted and refused connections, at most once a second.
-func (c *clients) logEvictions() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.evictions == (evictionCounts{}) ||
-		!c.evictionsLoggedAt.IsZero() && clock.Since(c.clock, c.evictionsLoggedAt) < time.Second {
-		return
-	}
-	c.log.Warn("clients: connection limit reached, connections evicted or refused", "silent", c.evictions.silent,
-		"idle", c.evictions.idle, "stalled", c.evictions.stalled, "turned_away", c.evictions.refused, "most", c.maxConns)
-	c.evictions, c.evictionsLoggedAt = evictionCounts{}, c.clock.Now()
-}
-
-// reconfigure applies a new configuration to the commands that are read from now on.
-func (c *clients) reconfigure(cfg *Config, maxConns int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.cfg, c.maxConns = cfg, maxConns
-	for excess := c.countOpen() - maxConns; excess > 0; excess-- { // the limit may have been lowered
-		if cc := c.oldestIdle(); cc != nil {
-			cc.beginClose()
-		}
-	}
-}
-
-// countOpen counts the connections that are not closing. The caller holds mu.
-func (c *clients) countOpen() (n int) {
-	for cc := range c.conns {
-		if !cc.closing {
-			n++
-		}
-	}
-	return n
-}
-
-// oldestIdle returns the connection that has been idle for longest, or nil. Connections without a command so far come
-// before all others. The caller holds mu.
-func (c *clients) oldestIdle() (found *clientConn) {
-	for cc := range c.conns {
-		if cc.inFlight > 0 || cc.closing {
-			continue
-		}
-		if found == nil || found.sentCommand && !cc.sentCommand ||
-			found.sentCommand == cc.sentCommand && cc.idleSince < found.idleSince {
-			found = cc
-		}
-	}
-	return found
-}
-
 // setServing records whether connections are accepted.
 func (c *clients) setServing(serving bool) {
 	c.mu.Lock()
