--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
-go build -o review/bin/ ./review/testdata/backlog
+go build -o review/bin/ ./review/testdata/backlog ./review/testdata/longping
