--- a/review/testdata/longping/main.go
+++ b/review/testdata/longping/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -15,19 +16,24 @@
 )
 
 const (
-	destinations = 10
-	clientCount  = 5
-	duration     = 20 * time.Second
-	peerTime     = 3 * time.Second // after which a peer gives up
-	peerPause    = time.Second     // before it comes again
-	commandBytes = 65536
+	destinations    = 5
+	shutDestination = 0 // it gets 20% of the messages
+	shutTime        = 22 * time.Second
+	clientCount     = 5
+	bodyBytes       = 50000
+	warmUp          = 8 * time.Second // before the peers come
+	duration        = 14 * time.Second
+	peerTime        = 3 * time.Second // after which a peer gives up
+	peerPause       = time.Second     // before it comes again
+	commandBytes    = 65536
+	peerReadBuffer  = 4096
 )
 
 func main() {
 	root := flag.String("root", ".", "root of the repository")
 	trouble := flag.Bool("trouble", true, "let the peers come")
 	memoryMB := flag.Int("memory", 32, "memory_mb")
-	peers := flag.Int("peers", 1500, "number of peers")
+	peers := flag.Int("peers", 2000, "number of peers")
 	flag.Parse()
 	broken, err := run(*root, *trouble, *memoryMB, *peers)
 	switch {
@@ -46,9 +52,13 @@
 	}
 	defer os.RemoveAll(dir)
 	record := stage.NewRecord(os.Stdout)
+	opensAt := time.Now().Add(shutTime)
 	var members []stage.Member
 	for dest := range destinations {
 		endpoint, err := stage.NewEndpoint(fmt.Sprintf("s-%02d", dest), func(*stage.Call) stage.Answer {
+			if left := time.Until(opensAt); dest == shutDestination && left > 0 {
+				return stage.Answer{Status: 429, Header: fmt.Sprintf("Retry-After: %.3f\r\n", left.Seconds())}
+			}
 			return stage.Answer{Status: 200, Delay: 400 * time.Millisecond}
 		})
 		if err != nil {
@@ -83,6 +93,7 @@
 	for number := range clientCount {
 		go handIn(relay.Addr, number, &accepted, &refused, &failed)
 	}
+	time.Sleep(warmUp)
 	if trouble {
 		record.Printf("%d peers come", peers)
 		for range peers {
@@ -90,22 +101,37 @@
 		}
 	}
 	limit := memoryMB << 10
-	largest, largestAnon := 0, 0
+	largest := 0
 	for until := time.Now().Add(duration); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
 		if process.HasExited() {
 			return false, fmt.Errorf("the relay has ended: %v", process.Cmd.ProcessState)
 		}
 		resident, anonymous := memory(process.Cmd.Process.Pid)
-		if resident > limit && largest <= limit {
-			record.Printf("OVER the limit: %d kB resident, %d kB of them anonymous; limit %d kB", resident, anonymous, limit)
+		files := fileSizes(filepath.Join(dir, "state")) + fileSizes(relay.Tmp)
+		if used := anonymous + files; used > largest {
+			if used > limit && largest <= limit {
+				record.Printf("OVER the limit of %d kB: %d kB", limit, used)
+			}
+			largest = used
+			record.Printf("%d kB: %d kB anonymous memory, %d kB in files; %d kB resident", used, anonymous, files, resident)
 		}
-		largest, largestAnon = max(largest, resident), max(largestAnon, anonymous)
 	}
 	record.Printf("messages accepted %d, refused %d, failed %d", accepted.Load(), refused.Load(), failed.Load())
-	record.Printf("largest resident memory %d kB, largest anonymous memory %d kB, limit %d kB", largest, largestAnon, limit)
+	record.Printf("largest: %d kB of %d kB", largest, limit)
 	return largest > limit, nil
 }
 
+// fileSizes returns the size of the files in a folder, in kB. They count as memory.
+func fileSizes(folder string) (sum int) {
+	entries, _ := os.ReadDir(folder)
+	for _, entry := range entries {
+		if info, err := entry.Info(); err == nil && info.Mode().IsRegular() {
+			sum += int(info.Size() >> 10)
+		}
+	}
+	return sum
+}
+
 // memory returns the resident memory of a process and the anonymous part of it, in kB.
 func memory(pid int) (resident, anonymous int) {
 	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
@@ -122,6 +148,7 @@
 	for {
 		conn, err := net.DialTimeout("tcp", addr, time.Second)
 		if err == nil {
+			conn.(*net.TCPConn).SetReadBuffer(peerReadBuffer)
 			conn.SetDeadline(time.Now().Add(peerTime))
 			for err == nil {
 				_, err = conn.Write(command)
@@ -142,7 +169,7 @@
 			continue
 		}
 		reply, err := client.Do(stage.PutCommand(fmt.Sprintf("%08x%08x", number, i),
-			fmt.Sprintf("c=sighting-update,t=acme,d=28000,dest=%d", i%destinations), strings.Repeat("b", 2000)))
+			fmt.Sprintf("c=sighting-update,t=acme,d=28000,dest=%d", i%destinations), strings.Repeat("b", bodyBytes)))
 		switch {
 		case err != nil:
 			failed.Add(1)
--- a/review/testdata/stage/stage.go
+++ b/review/testdata/stage/stage.go
@@ -60,23 +60,23 @@
 type Agent struct {
 	Addr string
 
-	mu       sync.Mutex
 	members  []Member
-	revision int64
-	silent   bool
-	changed  chan struct{}
 	server   *http.Server
 	onNotice func(Notice)
 }
 
+const (
+	revision  = 41
+	heartbeat = 2 * time.Second
+)
+
 // NewAgent starts an agent with a list.
 func NewAgent(members []Member, onNotice func(Notice)) (*Agent, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{Addr: listener.Addr().String(), members: members, revision: 41, changed: make(chan struct{}),
-		onNotice: onNotice}
+	a := &Agent{Addr: listener.Addr().String(), members: members, onNotice: onNotice}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/registry/instances", a.serveList)
 	mux.HandleFunc("/reports", a.serveReports)
@@ -88,60 +88,24 @@
 // Close ends the agent.
 func (a *Agent) Close() { a.server.Close() }
 
-// SetMembers replaces the list.
-func (a *Agent) SetMembers(members []Member) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.members = members
-	a.revision++
-	close(a.changed)
-	a.changed = make(chan struct{})
-}
-
-// SetSilent lets discovery be down: nothing more is written to requests for the list. Notices are still answered.
-func (a *Agent) SetSilent(silent bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.silent = silent
-	close(a.changed)
-	a.changed = make(chan struct{})
-}
-
-func (a *Agent) state() (list []byte, revision int64, silent bool, changed chan struct{}) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	list, _ = json.Marshal(map[string]any{"revision": a.revision, "complete": true, "members": a.members})
-	return list, a.revision, a.silent, a.changed
-}
-
+// serveList answers a request for the list, or keeps a watch open. The list never changes.
 func (a *Agent) serveList(w http.ResponseWriter, req *http.Request) {
-	from := int64(-1)
-	watch := req.URL.Query().Get("watch") != ""
-	if watch {
-		from, _ = strconv.ParseInt(req.URL.Query().Get("from"), 10, 64)
+	list, _ := json.Marshal(map[string]any{"revision": revision, "complete": true, "members": a.members})
+	query := req.URL.Query()
+	if query.Get("watch") == "" {
+		w.Write(list)
+		return
+	}
+	if query.Get("from") != strconv.Itoa(revision) {
+		w.Write(list)
 	}
-	flusher := w.(http.Flusher)
 	for {
-		list, revision, silent, changed := a.state()
-		switch {
-		case silent:
-		case !watch:
-			w.Write(list)
-			return
-		default:
-			if revision != from {
-				w.Write(append(list, '\n'))
-				from = revision
-			} else {
-				w.Write([]byte("\n"))
-			}
-			flusher.Flush()
-		}
+		w.Write([]byte("\n"))
+		w.(http.Flusher).Flush()
 		select {
 		case <-req.Context().Done():
 			return
-		case <-changed:
-		case <-time.After(2 * time.Second):
+		case <-time.After(heartbeat):
 		}
 	}
 }
@@ -173,12 +137,11 @@
 
 // Answer is what an endpoint does with a call.
 type Answer struct {
-	Delay  time.Duration // before the answer, or before the reset
+	Delay  time.Duration // before the answer
 	Status int
 	Header string // further header lines, each with its line end
 	Body   string
-	Hang   bool // no answer; the connection stays open until the relay ends it
-	Reset  bool // the connection is reset
+	Close  bool // the connection ends after the answer
 }
 
 // Endpoint is one endpoint of a destination.
@@ -186,16 +149,69 @@
 	Name string
 	Addr string
 
-	listener net.Listener
-	handle   func(*Call) Answer
-	mu       sync.Mutex
-	conns    map[net.Conn]bool
-	nextConn int
+	listener  net.Listener
+	accepting sync.Mutex // held while the accept loop waits for a connection, or while no connection may come up
+	handle    func(*Call) Answer
+	mu        sync.Mutex
+	conns     map[net.Conn]bool
+	nextConn  int
+}
+
+// listenWithoutBacklog listens at a free port. The system keeps one connection at most that is not accepted yet.
+func listenWithoutBacklog() (net.Listener, error) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	file := os.NewFile(uintptr(fd), "listener")
+	defer file.Close()
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		return nil, err
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		return nil, err
+	}
+	return net.FileListener(file)
+}
+
+// HoldConnections lets no new connection to the endpoint come up for a while: it fills the queue of the listener with
+// connections of its own. It returns once that has begun. The channel is closed at its end; a connection that was tried
+// meanwhile comes up when the system of its client tries again.
+func (e *Endpoint) HoldConnections(d time.Duration) (released <-chan struct{}) {
+	began, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		e.accepting.Lock() // the accept loop gives it up after the next connection
+		defer e.accepting.Unlock()
+		var fill []net.Conn
+		for {
+			conn, err := net.DialTimeout("tcp", e.Addr, 20*time.Millisecond)
+			if err != nil {
+				break
+			}
+			fill = append(fill, conn)
+		}
+		close(began)
+		time.Sleep(d)
+		for _, conn := range fill {
+			conn.Close()
+		}
+	}()
+	for {
+		if conn, err := net.DialTimeout("tcp", e.Addr, 20*time.Millisecond); err == nil {
+			conn.Close()
+		}
+		select {
+		case <-began:
+			return done
+		case <-time.After(time.Millisecond):
+		}
+	}
 }
 
 // NewEndpoint starts an endpoint. handle decides about each call and must be safe for concurrent use.
 func NewEndpoint(name string, handle func(*Call) Answer) (*Endpoint, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listenWithoutBacklog()
 	if err != nil {
 		return nil, err
 	}
@@ -203,7 +219,9 @@
 		conns: map[net.Conn]bool{}}
 	go func() {
 		for {
+			e.accepting.Lock()
 			conn, err := listener.Accept()
+			e.accepting.Unlock()
 			if err != nil {
 				return
 			}
@@ -262,21 +280,13 @@
 			call.IDs, call.Bodies = []string{req.Header.Get("X-Request-ID")}, []string{string(body)}
 		}
 		answer := e.handle(call)
-		if answer.Hang {
-			reader.Peek(1) // returns when the relay ends the connection
-			return
-		}
 		time.Sleep(answer.Delay)
-		if answer.Reset {
-			conn.(*net.TCPConn).SetLinger(0)
-			return
-		}
 		if answer.Status == 200 && call.Batch && answer.Body == "" {
 			answer.Body = BatchBody(call.IDs, func(int) string { return "accepted" })
 		}
 		text := fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", answer.Status,
 			http.StatusText(answer.Status), answer.Header, len(answer.Body), answer.Body)
-		if _, err := io.WriteString(conn, text); err != nil {
+		if _, err := io.WriteString(conn, text); err != nil || answer.Close {
 			return
 		}
 	}
