--- a/review/testdata/longping/main.go
+++ b/review/testdata/longping/main.go
@@ -22,7 +22,7 @@
 	clientCount     = 5
 	bodyBytes       = 50000
 	warmUp          = 8 * time.Second // before the peers come
-	duration        = 14 * time.Second
+	duration        = 45 * time.Second
 	peerTime        = 3 * time.Second // after which a peer gives up
 	peerPause       = time.Second     // before it comes again
 	commandBytes    = 65536
