Keep the zone of an attempt as it was when its call was sent

Its call was in flight in the predecessor, and the endpoint of the call had been replaced in the list.

Cause: the zone of an attempt that may have run was taken from the endpoint when the outcome came. For a call of the predecessor whose endpoint is not listed any more that is a placeholder, whose zone is 0. The same without an upgrade: an endpoint that the list moves to another zone while its call is in flight. The log has the zone as it was at the send; it is passed to the policy now, and the policy keeps the zone with the call.

Ruled out: the log (its record names the right zone) and the hand-over of the call (its outcome arrives).

--- a/decide/api.go
+++ b/decide/api.go
@@ -199,8 +199,8 @@
 	// EvList is an update of the list of endpoints: List, Entries.
 	EvList EventKind = iota
 	// EvMessage is a new message: Message, Key, TimeLeft, Class, Dest, Tenant, EstimatedCost, Attempts,
-	// MayHaveRunAt, MayHaveRunZone, OriginalClass, OriginalMaxAttempts, InFlightEndpoint, InFlightSince,
-	// InFlightCall.
+	// MayHaveRunAt, MayHaveRunZone, OriginalClass, OriginalMaxAttempts, InFlightEndpoint, InFlightZone,
+	// InFlightSince, InFlightCall.
 	EvMessage
 	// EvResponseStarted says that the response to an attempt has begun to arrive: Message, Attempt.
 	EvResponseStarted
@@ -347,6 +347,8 @@
 	// InFlightEndpoint is set where another process has an attempt of the message in flight: its endpoint, 0
 	// means none. The outcome arrives as for any other attempt.
 	InFlightEndpoint Endpoint
+	// InFlightZone is the zone in which that endpoint was when the attempt was sent.
+	InFlightZone int
 	// InFlightSince is when that attempt was sent.
 	InFlightSince Time
 	// InFlightCall is a number that all messages of that call share.
--- a/decide/outcome.go
+++ b/decide/outcome.go
@@ -46,7 +46,7 @@
 		key.pausedUntil = max(key.pausedUntil, p.now+p.settings.OrderedKeyPause)
 	}
 	if !e.Outcome.NeverRan() && e.Outcome != Delivered && m.mayHaveRunAt == 0 {
-		p.markMayHaveRun(m, c.sentAt, c.endpoint.zone)
+		p.markMayHaveRun(m, c.sentAt, c.zone)
 	}
 	m.failedEndpoint = c.endpoint
 	switch {
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -89,7 +89,7 @@
 			ep = &endpoint{id: e.InFlightEndpoint, limiter: &limiter{dest: m.dest, window: 1, rateFactor: 1,
 				history: newRollingCounter(historySpan, historyBins)}}
 		}
-		m.call = &call{endpoint: ep, sentAt: min(e.InFlightSince, p.now)}
+		m.call = &call{endpoint: ep, zone: e.InFlightZone, sentAt: min(e.InFlightSince, p.now)}
 		if p.inheritedCalls == nil {
 			p.inheritedCalls = map[uint64]*call{}
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -141,6 +141,7 @@
 // call is one call in flight, with the messages that share it.
 type call struct {
 	endpoint  *endpoint
+	zone      int // of the endpoint as the call was sent; the list may move or remove the endpoint since
 	sentAt    Time
 	remaining int  // messages without an outcome
 	observed  bool // its result has been learned
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -345,12 +345,8 @@
 		}
 		policyEvent := decide.Event{Kind: decide.EvMessage, Message: msg.num, Dest: rec.Dest, Tenant: -1,
 			OriginalClass: rec.Rules, OriginalMaxAttempts: rec.MaxAttempts,
-			TimeLeft: r.policyTime(rec.Deadline) - r.now(), Attempts: rec.Attempts, MayHaveRunZone: rec.MayHaveRunZoneIndex}
-		if rec.MayHaveRunZoneName != "" {
-			if policyEvent.MayHaveRunZone = indexOf(r.cfg.zones, rec.MayHaveRunZoneName); policyEvent.MayHaveRunZone < 0 {
-				policyEvent.MayHaveRunZone-- // a zone that is no longer configured, which no endpoint matches
-			}
-		}
+			TimeLeft: r.policyTime(rec.Deadline) - r.now(), Attempts: rec.Attempts,
+			MayHaveRunZone: r.loggedZone(rec.MayHaveRunZoneName, rec.MayHaveRunZoneIndex)}
 		r.directory.AddDestination(rec.Dest) // a list has named it, or the message would not have been accepted
 		if t, ok := r.cfg.tenants[rec.Tenant]; ok {
 			policyEvent.Tenant = t
@@ -372,6 +368,7 @@
 			}
 			policyEvent.InFlightEndpoint, policyEvent.InFlightSince, policyEvent.InFlightCall =
 				c.ep.num, r.policyTime(rec.InFlightSince), c.restoredNum
+			policyEvent.InFlightZone = r.loggedZone(rec.InFlightZoneName, rec.InFlightZoneIndex)
 		} else if msg.recoveredUntried = rec.Attempts == 0; msg.recoveredUntried {
 			r.untried.found++
 		}
@@ -382,6 +379,18 @@
 	}
 }
 
+// loggedZone returns the policy's number of the zone of a logged attempt. Logs of earlier releases have its index and
+// no name.
+func (r *Relay) loggedZone(name string, index int) int {
+	if name == "" {
+		return index
+	}
+	if zone := indexOf(r.cfg.zones, name); zone >= 0 {
+		return zone
+	}
+	return unmatchedZone
+}
+
 // newMessage adds a message to those that the policy holds.
 func (r *Relay) newMessage(rec *record) *message {
 	r.lastMessageNum++
--- a/internal/relay/members.go
+++ b/internal/relay/members.go
@@ -24,6 +24,7 @@
 	forgetChecksPerChange = 64                    // endpoints that each call of forgetEndpoints checks
 	// directoryMemoryTenths is the share of the memory limit that the directory may use, in tenths.
 	directoryMemoryTenths = 6
+	unmatchedZone         = -2 // number of a zone that is not configured any more: no endpoint has it
 	// unlistedEndpointBit is set in the numbers of endpoints that no list names.
 	unlistedEndpointBit = 1 << 63
 )
