Keep the numbers of zones when new settings list them in another order

Cause: SIGHUP brings settings whose localities have another order. The policy compares the zone of an endpoint with that of an earlier attempt by number, and endpoints listed after the signal got the new numbers, so a message of a class that drops repeats by zone could go to another zone.

Change: a running relay keeps the number of each zone that it has, and appends new ones.

TestReloadKeepsZoneNumbers failed before in 3 of 4 numbers, and passes now.

--- a/internal/relay/dedup_zone_test.go
+++ b/internal/relay/dedup_zone_test.go
@@ -58,3 +58,29 @@
 		})
 	}
 }
+
+// TestReloadKeepsZoneNumbers guards against a second effect in another zone: new settings list the zones in another
+// order, and one more, while a message waits that may have run. The policy knows each zone by the number that it had
+// before, this relay's own zone included.
+func TestReloadKeepsZoneNumbers(t *testing.T) {
+	relay := newTestRelay(t)
+	relay.clients = newClients(relay.cfg, relay.clock, relay.log, nil, nil)
+	text := `{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","state":"x","seed":"1","settings":` +
+		testSettings + `}`
+	text = strings.Replace(text, `"localities":["a","b"]`, `"localities":["c","b","a"]`, 1)
+	text = strings.Replace(text, `"zone":0`, `"zone":2`, 1) // "a", as before
+	cfg, err := parseConfig([]byte(text), func(string) string { return "" }, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	relay.discoveryAddr = cfg.DiscoveryAddr
+	relay.applyConfig(cfg)
+	for name, want := range map[string]int{"a": 0, "b": 1, "c": 2} {
+		if got := relay.cfg.zones[name]; got != want {
+			t.Errorf("zone %s: got number %d, want %d", name, got, want)
+		}
+	}
+	if got := relay.cfg.Policy.Zone; got != 0 {
+		t.Errorf("zone of this relay: got number %d, want 0", got)
+	}
+}
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -59,6 +59,7 @@
 	}
 	cfg.Name, cfg.ListenAddr, cfg.OpsAddr, cfg.StateFolder, cfg.Limits =
 		old.Name, old.ListenAddr, old.OpsAddr, old.StateFolder, old.Limits
+	cfg.keepZoneNumbers(old)
 	r.cfg = cfg
 	if !reflect.DeepEqual(cfg.Policy, old.Policy) {
 		r.policyEvents = append(r.policyEvents, decide.Event{Kind: decide.EvSettings, Settings: &cfg.Policy})
@@ -77,6 +78,28 @@
 	r.notices.addresses.put(r.discoveryAddr)
 }
 
+// keepZoneNumbers gives the zones the numbers that they have in the old configuration, and new ones to zones that it
+// does not have. The policy compares the zone of an endpoint with that of an earlier attempt by their numbers.
+func (c *Config) keepZoneNumbers(old *Config) {
+	numbers := maps.Clone(old.zones)
+	next := 0
+	for _, number := range numbers {
+		next = max(next, number+1)
+	}
+	ownZone := c.Policy.Zone
+	for _, name := range slices.SortedFunc(maps.Keys(c.zones),
+		func(a, b string) int { return c.zones[a] - c.zones[b] }) {
+		if _, known := numbers[name]; !known {
+			numbers[name] = next
+			next++
+		}
+		if c.zones[name] == ownZone {
+			c.Policy.Zone = numbers[name]
+		}
+	}
+	c.zones = numbers
+}
+
 // checkCanReplace returns an error if c cannot replace the running configuration old: a key of old is
 // missing, as in a file that is only partly written or was edited by hand, or c allows no attempts.
 func (c *Config) checkCanReplace(old *Config) error {
