Do not start a call at an endpoint that has moved to another zone

Cause: a call is decided in one step and starts once the clients of its messages have their replies. If the list moved its endpoint to another zone meanwhile, the call went there, also with a message that may have run elsewhere.

Change: a call keeps the zone for which it was decided, and is reported as not sent where that is not its endpoint's.

TestCallIsNotSentToMovedEndpoint failed before (1 call in flight, 0 events), and passes now.

--- a/internal/relay/dedup_zone_test.go
+++ b/internal/relay/dedup_zone_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"troutusher/decide"
 )
 
 // zoneKeyedClass returns test settings in which the class "keyed" is deduplicated by zone.
@@ -84,3 +86,24 @@
 		t.Errorf("zone of this relay: got number %d, want 0", got)
 	}
 }
+
+// TestCallIsNotSentToMovedEndpoint guards against a second effect in another zone: the list moves an endpoint to
+// another zone between the decision to call it and the start of the call.
+func TestCallIsNotSentToMovedEndpoint(t *testing.T) {
+	relay := newTestRelay(t)
+	relay.wal, relay.ctx = &wal{queue: newMailbox[walOp]()}, t.Context()
+	member := Member{ID: "s-1", HostPort: "127.0.0.1:1", Locality: "a", Flavor: "k", Cell: 1, Phase: phaseUp, Size: 1}
+	relay.receiveList(t, &List{Complete: true, Members: []Member{member}})
+	msg := relay.newMessage(&record{ID: "m", Dest: 1, Rules: &relay.cfg.Policy.Classes[0]})
+	msg.acknowledged = true
+	relay.performAction(relay.now(), &decide.Action{Kind: decide.ActSend, Message: msg.num,
+		Endpoint: relay.endpointByID("s-1").num, TimeoutAt: relay.now() + decide.Time(1e6)})
+	member.Locality = "b"
+	relay.receiveList(t, &List{Revision: 2, Members: []Member{member}})
+	relay.startCall(msg.pendingCall)
+	events := relay.inbox.takeAll(nil)
+	if len(events) != 1 || events[0].unsent != msg || relay.callsInFlight != 0 {
+		t.Errorf("got %d events and %d calls in flight, want the event that the attempt was not sent, and no call",
+			len(events), relay.callsInFlight)
+	}
+}
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -102,6 +102,7 @@
 // that executes run does not access the fields that the loop owns.
 type call struct {
 	ep          *endpoint
+	zone        string     // of the endpoint as the policy decided on the call; owned by the loop
 	msgs        []*message // owned by the loop
 	unfinished  int        // messages without an outcome; owned by the loop
 	restoredNum uint64     // number of the call in this process, if a predecessor process made it
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -864,6 +864,9 @@
 		}
 	}
 	c := &call{ep: ep}
+	if ep != nil {
+		c.zone = ep.zone
+	}
 	r.formingCalls = append(r.formingCalls, c)
 	return c
 }
@@ -897,7 +900,7 @@
 		}
 		msg.pendingCall = nil
 		if ep := c.ep; ep == nil || ep.withdrawn || ep.waitUntil > now ||
-			ep.dest != msg.rec.Dest || msg.attemptDeadline <= now || msg.ended ||
+			ep.dest != msg.rec.Dest || ep.zone != c.zone || msg.attemptDeadline <= now || msg.ended ||
 			(callItem{repeatUntil: msg.repeatUntil()}).repeatExpired(r.instant(now)) {
 			r.reportNotSent(msg, c, errNotStarted)
 			return true
@@ -929,7 +932,7 @@
 		item := callItem{message: msg, rec: msg.rec, timeout: time.Duration(msg.attemptDeadline-now) * time.Microsecond,
 			repeatUntil: msg.repeatUntil()}
 		msg.lastAttemptAt = r.instant(now)
-		r.wal.submit(&record{Kind: recordAttempt, ID: msg.rec.ID, At: r.instant(now), ZoneName: c.ep.zone}, func(err error) {
+		r.wal.submit(&record{Kind: recordAttempt, ID: msg.rec.ID, At: r.instant(now), ZoneName: c.zone}, func(err error) {
 			if err == nil {
 				items = append(items, item)
 			} else {
