--- a/cmd/hollow/main.go
+++ b/cmd/hollow/main.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"os"
 	"os/signal"
 	"slices"
@@ -18,6 +20,7 @@
 	"github.com/alecthomas/kong"
 
 	"troutusher/internal/rig/experiment"
+	"troutusher/internal/rig/peers"
 	"troutusher/internal/rig/registry"
 	"troutusher/internal/rig/report"
 )
@@ -35,6 +38,7 @@
 	Report   reportCmd   `cmd:"" help:"Print the slopes of results as a table, and draw plots of them."`
 	Registry registryCmd `cmd:"" help:"Run only the stand-in for service discovery."`
 	Kinds    kindsCmd    `cmd:"" help:"List the kinds of experiment."`
+	Peers    peersCmd    `cmd:"" help:"Measure how a relay serves clients beside peers that misbehave."`
 }
 
 // usageError is an error in flags or files, as opposed to one of a run.
@@ -176,6 +180,56 @@
 	return nil
 }
 
+// peersCmd is the command "peers".
+type peersCmd struct {
+	Behavior    []string      `arg:"" optional:"" help:"Behaviors of the peers; without any all are listed."`
+	Relay       string        `help:"Path of the relay's binary." default:"bin/troutusher"`
+	Peers       int           `help:"Connections of the peers; 0 for the default of the behavior."`
+	MemoryMB    int           `name:"memory-mb" help:"Memory limit of the relay." default:"64"`
+	Sockets     int           `help:"Descriptor limit of the relay." default:"1024"`
+	DiskMB      int           `name:"disk-mb" help:"Disk limit of the relay." default:"3"`
+	Serve       time.Duration `help:"Time that the partner takes for a call." default:"100ms"`
+	For         time.Duration `help:"Time for which the peers come, at most 10m." default:"10s"`
+	ReturnAfter time.Duration `help:"Pause after which a peer connects again." default:"100ms"`
+	RelayLog    string        `help:"File for the relay's log."`
+}
+
+const (
+	longestPeersRun = 10 * time.Minute
+	peersLeadTime   = time.Second
+	peersRestTime   = 2 * time.Second
+)
+
+// Run plays each behavior and prints a line of JSON for it.
+func (c *peersCmd) Run(ctx context.Context, log *slog.Logger) error {
+	if len(c.Behavior) == 0 {
+		for _, name := range slices.Sorted(maps.Keys(peers.Behaviors)) {
+			fmt.Printf("%-18s %s\n", name, peers.Behaviors[name].Description)
+		}
+		return nil
+	}
+	if c.For <= 0 || c.For > longestPeersRun {
+		return usageError{fmt.Errorf("--for: %v, want above 0 and at most %v", c.For, longestPeersRun)}
+	}
+	for _, name := range c.Behavior {
+		if _, ok := peers.Behaviors[name]; !ok {
+			return usageError{fmt.Errorf("behavior: %q is unknown", name)}
+		}
+	}
+	for _, name := range c.Behavior {
+		result, err := peers.Run(ctx, peers.Scenario{Behavior: name, Program: c.Relay, Peers: c.Peers,
+			MemoryMB: c.MemoryMB, Sockets: c.Sockets, DiskMB: c.DiskMB, ServeTime: c.Serve, Lead: peersLeadTime, For: c.For, Rest: peersRestTime,
+			ReturnAfter: c.ReturnAfter, LogPath: c.RelayLog}, log)
+		if err != nil {
+			return err
+		}
+		if err := json.NewEncoder(os.Stdout).Encode(result); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
 // run parses the arguments, runs the command and returns the exit code. An error is printed as a single line.
--- a/cmd/hollow/main_test.go
+++ b/cmd/hollow/main_test.go
@@ -50,7 +50,8 @@
 	}{{[]string{"run", bad}, "sises"}, {[]string{"run", "--sed=1", bad}, "--sed"},
 		{[]string{"run", "nowhere.toml"}, "nowhere.toml"}, {[]string{"run", "--seed=x", bad}, "--seed"},
 		{[]string{"registry", "--fault=odd"}, "--fault"}, {[]string{"registry", "--destinations=0"}, "--destinations"},
-		{[]string{"report", t.TempDir()}, "no results"}} {
+		{[]string{"report", t.TempDir()}, "no results"},
+		{[]string{"peers", "odd"}, "odd"}, {[]string{"peers", "ping", "--for=-1s"}, "--for"}} {
 		var stdout, stderr strings.Builder
 		code := run(test.args, &stdout, &stderr)
 		if code != exitUsage || !strings.Contains(stderr.String(), test.key) || strings.Count(stderr.String(), "\n") != 1 {
--- a/internal/rig/process/relay.go
+++ b/internal/rig/process/relay.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io/fs"
 	"net"
 	"os"
 	"os/exec"
@@ -152,6 +153,7 @@
 // Usage is the memory and processor time of a process.
 type Usage struct {
 	ResidentBytes     int64         // resident set size now
+	AnonymousBytes    int64         // resident memory that is not that of files
 	PeakResidentBytes int64         // largest resident set size since the process started
 	CPU               time.Duration // user and system time since the process started
 }
@@ -170,6 +172,20 @@
 	return sum, err
 }
 
+// FileBytes returns the total size of the files in the relay's directory, its state folder included.
+func (r *Relay) FileBytes() (sum int64, err error) {
+	err = filepath.WalkDir(r.opts.Dir, func(_ string, entry fs.DirEntry, err error) error {
+		if err != nil || !entry.Type().IsRegular() {
+			return nil // a file may have been removed meanwhile
+		}
+		if info, err := entry.Info(); err == nil {
+			sum += info.Size()
+		}
+		return nil
+	})
+	return sum, err
+}
+
 // ticksPerSecond is the unit of processor time in /proc/PID/stat (USER_HZ), which is the same on every Linux.
 const ticksPerSecond = 100
 
@@ -182,7 +198,8 @@
 	for _, field := range []struct {
 		key string
 		to  *int64
-	}{{"VmRSS:", &usage.ResidentBytes}, {"VmHWM:", &usage.PeakResidentBytes}} {
+	}{{"VmRSS:", &usage.ResidentBytes}, {"VmHWM:", &usage.PeakResidentBytes},
+		{"RssAnon:", &usage.AnonymousBytes}} {
 		_, rest, _ := bytes.Cut(statusText, []byte(field.key))
 		fields := strings.Fields(string(rest[:min(len(rest), 40)]))
 		if len(fields) == 0 {
