Give places to clients rather than to peers that stall or send invalid commands

Cause: at the limit of connections a new one was closed at once unless one that had sent nothing, was idle or had stalled for 0.3 s was at hand. Connections with invalid commands were none of these: they kept their place for the delay of each error reply (0.1 s, ten times) and the wait after the last one (0.2 s). Places of evicted ones are free only some milliseconds later, and of what waited in the listener's backlog nothing was kept. Ruled out: memory (21 of 66 MB), errors of accept (none in the log), evictions of clients (counted in the log: only the peers' were).

Change: a connection whose latest command was invalid may be evicted; its error reply is written at once, and a peer that has sent nothing valid is not waited for. From a sixteenth below the limit on, invalid and stalled connections are evicted ahead of need. A connection that finds no place waits for one up to 0.2 s while the backlog is not empty.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -49,6 +49,7 @@
 	replyWritten func(request *putRequest, ok bool)
 	// The timeouts close connections that send nothing or do not finish a command.
 	firstCommandTimeout, commandTimeout, idleTimeout time.Duration
+	placeTimeout                                     time.Duration // for which a new connection waits for a place
 
 	mu                sync.Mutex
 	cfg               *Config
@@ -77,9 +78,13 @@
 	writeFailed       bool         // a reply could not be written; used by the replying goroutine only
 	readStopped       bool         // nothing more is read from the socket, only from the buffer
 	evicted           bool         // closed to free a connection slot for another client
+	invalid           bool         // the latest command that was answered was invalid
+	sentValid         bool         // a valid command has been answered
+	lingering         bool         // only the client's close, or a timeout, is awaited
 	idleSince         clock.Instant
-	sentCommand       bool // a whole command has been read
-	closing           bool // the connection is closed once no request is in flight
+	evictedInvalid    chan struct{} // closed when the connection is evicted while it is invalid; never replaced
+	sentCommand       bool          // a whole command has been read
+	closing           bool          // the connection is closed once no request is in flight
 
 	readDeadline     clock.Instant      // of the reads, if they have one
 	readInterrupted  bool               // the reads fail as if their deadline had passed
@@ -87,6 +92,11 @@
 	cancelMemoryWait context.CancelFunc // ends that command's wait for memory; nil if it does not wait
 }
 
+// newClientConn returns a connection that was just accepted.
+func newClientConn(conn net.Conn, clk clock.Clock) *clientConn {
+	return &clientConn{Conn: conn, clock: clk, idleSince: clk.Now(), evictedInvalid: make(chan struct{})}
+}
+
 // Read reads from the connection and records the time of each read that returns data.
 func (cc *clientConn) Read(b []byte) (int, error) {
 	n, err := readWithRetry(cc.Conn, b)
@@ -111,9 +121,13 @@
 	cc.SetReadDeadline(time.Time{})
 }
 
-// interruptRead lets all reads fail as if their deadline had passed.
+// interruptRead lets all reads fail as if their deadline had passed, except for those that discard what arrives while
+// the connection closes.
 func (cc *clientConn) interruptRead() {
 	cc.readInterrupted = true
+	if cc.lingering {
+		return
+	}
 	cc.SetReadDeadline(clock.ExpiredDeadline)
 	if cc.cancelMemoryWait != nil {
 		cc.cancelMemoryWait()
@@ -134,7 +148,7 @@
 	maxConns, _ := cfg.socketBudget()
 	c := &clients{cfg: cfg, clock: clk, log: log, submit: submit, replyWritten: replyWritten, maxConns: maxConns,
 		firstCommandTimeout: firstCommandTimeout, commandTimeout: cmp.Or(cfg.commandTimeout, commandTimeout),
-		idleTimeout: idleTimeout, conns: map[*clientConn]bool{}}
+		idleTimeout: idleTimeout, placeTimeout: placeTimeout, conns: map[*clientConn]bool{}}
 	c.limitCommandMemory(cfg.commandMemory())
 	return c
 }
@@ -144,7 +158,9 @@
 	c.setServing(true)
 	defer c.setServing(false)
 	backoff := acceptBackoff{log: c.log, clock: c.clock, listener: "clients"}
+	queue := acceptQueue{clock: c.clock, timeout: c.placeTimeout}
 	for {
+		acceptingSince := c.clock.Now()
 		conn, err := listener.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
@@ -159,8 +175,14 @@
 			continue
 		}
 		backoff.accepted()
-		cc := &clientConn{Conn: conn, clock: c.clock, idleSince: c.clock.Now()}
+		cc := newClientConn(conn, c.clock)
+		queue.accepted(acceptingSince)
 		admitted := c.admitConn(cc)
+		for !admitted && queue.mayWait() {
+			time.Sleep(placePollInterval)
+			admitted = c.admitConn(cc)
+		}
+		c.recordAdmission(admitted)
 		c.logEvictions()
 		if !admitted {
 			cc.Close() // without a reply, so that a flood of connections costs little
@@ -427,6 +449,7 @@
 		if reason := c.drainReason(); reason != "" {
 			return c.writeReply(cc, resp.ErrorText(reason)), nil
 		}
+		c.recordValid(cc, true)
 		if len(cmd.args) > 1 {
 			return c.writeReply(cc, resp.BulkString(cmd.args[1])), nil
 		}
@@ -471,6 +494,7 @@
 	if resp.IsError(reply) {
 		return c.writeErrorReply(cc, reply), pipelined
 	}
+	c.recordValid(cc, true)
 	ok := c.writeReply(cc, reply)
 	c.replyWritten(request, ok)
 	cc.consecutiveErrors = 0
@@ -490,11 +514,23 @@
 	return c.writeErrorReply(cc, resp.Error(err))
 }
 
-// writeErrorReply writes an error reply after a delay. It reports false where the write failed or the connection has
-// had too many error replies in a row.
+// writeErrorReply writes an error reply after a delay, which an eviction ends. It reports false where the write failed
+// or the connection has had too many error replies in a row.
 func (c *clients) writeErrorReply(cc *clientConn, reply string) bool {
-	time.Sleep(errorReplyDelay)
+	c.recordValid(cc, false)
+	select {
+	case <-time.After(errorReplyDelay):
+	case <-cc.evictedInvalid:
+	}
 	ok := c.writeReply(cc, reply)
 	cc.consecutiveErrors++
 	return ok && cc.consecutiveErrors < maxConsecutiveErrors
 }
+
+// recordValid records whether the command that is being answered is valid.
+func (c *clients) recordValid(cc *clientConn, valid bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cc.invalid = !valid
+	cc.sentValid = cc.sentValid || valid
+}
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -21,13 +21,20 @@
 	written := make(chan bool, 16)
 	server := newClients(parseTestConfig(t), clock.System(), discardLogger(), submit,
 		func(_ *putRequest, ok bool) { written <- ok })
+	listener := newLocalListener(t)
+	go server.serve(listener)
+	return server, listener.Addr().String(), written
+}
+
+// newLocalListener returns a listener at a free port of 127.0.0.1, which is closed at the end of the test.
+func newLocalListener(t *testing.T) net.Listener {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	go server.serve(listener)
-	return server, listener.Addr().String(), written
+	return listener
 }
 
 // replyOK acknowledges a request.
--- a/internal/relay/clock_step_test.go
+++ b/internal/relay/clock_step_test.go
@@ -688,14 +688,17 @@
 	}
 }
 
-// evictionTrial fills the connection limit with half-written commands, steps the clock and reports whether a new
-// connection is served. It is not valid if writing took so long that the commands stalled in the meantime.
+// evictionTrial fills the connection limit with commands that are being written, steps the clock and reports whether a
+// new connection is served. Unless the commands have stalled they go on being written while the new connection waits. The
+// trial is not valid if a pause in writing was so long that the commands stalled.
 func (r *steppedRelay) evictionTrial(step time.Duration, stalled bool) (served, valid bool) {
 	r.t.Helper()
 	const (
-		readDelay    = 100 * time.Millisecond                    // for the relay to read what was written
-		maxWriteTime = commandStallTimeout - 50*time.Millisecond // after it the first commands may count as stalled
-		maxTrialTime = commandTimeout - 500*time.Millisecond     // after it the relay may close the first connections
+		readDelay     = 100 * time.Millisecond                    // for the relay to read what was written
+		writeInterval = 50 * time.Millisecond                     // between two writes while the new connection waits
+		maxWritePause = commandStallTimeout - 50*time.Millisecond // after it the first commands may count as stalled
+		maxTrialTime  = commandTimeout - 500*time.Millisecond     // after it the relay may close the first connections
+		longCommand   = "*2\r\n$4\r\nPING\r\n$1000\r\n"
 	)
 	r.clock.step(r.t, 0)
 	cfg, err := LoadConfig(func(key string) string { return r.env[key] })
@@ -720,19 +723,41 @@
 			r.t.Fatalf("connections served: got %d, want %d", len(conns), connectionLimit)
 		}
 		conns = append(conns, conn)
-		io.WriteString(conn, pingCommand[:len(pingCommand)/2])
+		io.WriteString(conn, longCommand)
 	}
 	time.Sleep(readDelay)
+	var longestPause time.Duration
 	writtenAt := time.Now()
-	for _, conn := range conns {
-		io.WriteString(conn, pingCommand[len(pingCommand)/2:len(pingCommand)/2+1])
+	write := func() {
+		startedAt := writtenAt
+		writtenAt = time.Now()
+		for _, conn := range conns {
+			io.WriteString(conn, "x")
+		}
+		longestPause = max(longestPause, time.Since(startedAt))
 	}
+	write()
 	time.Sleep(readDelay)
 	if stalled {
 		time.Sleep(commandStallTimeout)
 	}
 	r.clock.step(r.t, step)
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for !stalled {
+			select {
+			case <-stop:
+				return
+			case <-time.After(writeInterval):
+				write()
+			}
+		}
+	}()
 	_, served = pingOnce(r.t, r.env["ROUTER_LISTEN"])
-	valid = time.Since(startedAt) < maxTrialTime && (stalled || time.Since(writtenAt) < maxWriteTime)
+	close(stop)
+	<-stopped
+	longestPause = max(longestPause, time.Since(writtenAt))
+	valid = time.Since(startedAt) < maxTrialTime && (stalled || longestPause < maxWritePause)
 	return served, valid
 }
--- a/internal/relay/conn_limit.go
+++ b/internal/relay/conn_limit.go
@@ -11,69 +11,143 @@
 	// read yet.
 	unreadGracePeriod = 20 * time.Millisecond
 	maxConnsOverLimit = 8 // connections above the limit that may be open while evicted ones close
+	// A connection that finds no place waits for one, while others wait in the listener's backlog. The time is half of
+	// that in which a client expects its reply.
+	placeTimeout       = 200 * time.Millisecond
+	placePollInterval  = time.Millisecond
+	backlogEmptyAfter  = time.Millisecond // an accept that takes so long has found the backlog empty
+	connReserveDivisor = 16               // of the limit gives the places that connReserve keeps
 )
 
-// admitConn adds a connection, and evicts another one where the limit is reached. It reports false where the
-// connection is refused. Connections without a command so far occupy at most half of the limit.
+// admitConn adds a connection. Where the limit is reached it evicts another one, and from connReserve below the limit
+// on one that has no claim to its place. It reports false where the connection is refused. Connections without a command
+// so far occupy at most half of the limit.
 func (c *clients) admitConn(cc *clientConn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var oldestSilent, oldestIdle, oldestStalled *clientConn
-	silentCount := 0
+	if len(c.conns) >= c.maxConns+maxConnsOverLimit || !c.makeRoom(c.clock.Now()) {
+		return false
+	}
+	c.conns[cc] = true
+	cc.readUntil(cc.idleSince.Add(c.firstCommandTimeout))
+	return true
+}
+
+// recordAdmission counts a connection that is refused for good.
+func (c *clients) recordAdmission(admitted bool) {
+	if admitted {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evictions.refused++
+}
+
+// acceptQueue decides whether an accepted connection may wait for a place, while those behind it wait in the listener's
+// backlog. It bounds the time in which the backlog is not served to its end, so that clients are refused while they
+// still wait for their reply.
+type acceptQueue struct {
+	clock          clock.Clock
+	timeout        time.Duration
+	congestedSince clock.Instant // since when the backlog has not been empty; zero where it has
+}
+
+// accepted records that a connection was accepted. acceptingSince is when the listener was asked for it.
+func (q *acceptQueue) accepted(acceptingSince clock.Instant) {
+	if clock.Since(q.clock, acceptingSince) >= backlogEmptyAfter {
+		q.congestedSince = 0
+	}
+}
+
+// mayWait reports whether the connection may wait for a place, or go on to wait.
+func (q *acceptQueue) mayWait() bool {
+	now := q.clock.Now()
+	if q.congestedSince.IsZero() {
+		q.congestedSince = now
+	}
+	return now.Sub(q.congestedSince) < q.timeout
+}
+
+// makeRoom evicts a connection where the next one needs its place. It reports false where there is none to evict. A
+// client whose connection is evicted opens another one when it needs it. An evicted connection counts until its
+// descriptor is free. The caller holds mu.
+func (c *clients) makeRoom(now clock.Instant) bool {
+	silentLimit := max(c.maxConns/2, 1)
+	if len(c.conns) < min(silentLimit, c.maxConns-c.connReserve()) {
+		return true
+	}
+	found := c.findEvictable(now)
+	full := len(c.conns) >= c.maxConns
+	switch tooManySilent := found.silentCount >= silentLimit; {
+	case found.silent != nil && (full || tooManySilent):
+		found.silent.beginClose()
+		c.evictions.silent++
+	case tooManySilent:
+		return false
+	case len(c.conns) < c.maxConns-c.connReserve():
+	case found.invalid != nil:
+		found.invalid.evict()
+		c.evictions.invalid++
+	case full && found.idle != nil:
+		found.idle.evict()
+		c.evictions.idle++
+	case found.stalled != nil:
+		found.stalled.evict()
+		c.evictions.stalled++
+	default:
+		return !full
+	}
+	return true
+}
+
+// connReserve is the number of places below the limit that are kept free of connections without a claim to them, for
+// clients that arrive while evicted connections close.
+func (c *clients) connReserve() int { return c.maxConns / connReserveDivisor }
+
+// evictable are the connections that may be evicted, of each kind the one that has been in that state for longest.
+type evictable struct {
+	silent      *clientConn // has sent nothing
+	invalid     *clientConn // its latest command was invalid
+	idle        *clientConn // has no command in flight
+	stalled     *clientConn // has stopped in the middle of a command
+	silentCount int         // connections that have sent nothing
+}
+
+// findEvictable looks for connections to evict. The caller holds mu.
+func (c *clients) findEvictable(now clock.Instant) (found evictable) {
+	var silentSince, invalidSince, idleSince, stalledSince clock.Instant
+	note := func(candidate **clientConn, since *clock.Instant, other *clientConn, otherSince clock.Instant) {
+		if *candidate == nil || otherSince < *since {
+			*candidate, *since = other, otherSince
+		}
+	}
 	for other := range c.conns {
 		switch {
-		case other.closing:
+		case other.evicted || other.closing && !other.lingering:
+		case other.invalid && !(other.lingering && other.sentValid):
+			note(&found.invalid, &invalidSince, other, other.lastRead())
+		case other.lingering:
 		case other.readingCommand:
-			if oldestStalled == nil || other.lastRead() < oldestStalled.lastRead() {
-				oldestStalled = other
-			}
+			note(&found.stalled, &stalledSince, other, other.lastRead())
 		case other.inFlight > 0:
 		case other.sentCommand:
-			if oldestIdle == nil || other.idleSince < oldestIdle.idleSince {
-				oldestIdle = other
-			}
+			note(&found.idle, &idleSince, other, other.idleSince)
 		default:
-			silentCount++
-			if oldestSilent == nil || other.idleSince < oldestSilent.idleSince {
-				oldestSilent = other
-			}
+			found.silentCount++
+			note(&found.silent, &silentSince, other, other.idleSince)
 		}
 	}
-	if oldestSilent != nil && cc.idleSince.Sub(oldestSilent.idleSince) < unreadGracePeriod {
-		oldestSilent = nil // its first bytes may not have been read yet
+	if found.silent != nil && now.Sub(silentSince) < unreadGracePeriod {
+		found.silent = nil // its first bytes may not have been read yet
 	}
-	if oldestStalled != nil && cc.idleSince.Sub(oldestStalled.lastRead()) < commandStallTimeout {
-		oldestStalled = nil // its client is still writing the command
+	if found.stalled != nil && now.Sub(stalledSince) < commandStallTimeout {
+		found.stalled = nil // its client is still writing the command
 	}
-	if tooManySilent := silentCount >= max(c.maxConns/2, 1); tooManySilent || len(c.conns) >= c.maxConns {
-		// A client whose connection is evicted opens another one when it needs it. An evicted connection counts
-		// until its descriptor is free.
-		switch {
-		case oldestSilent != nil:
-			oldestSilent.beginClose()
-			c.evictions.silent++
-		case oldestIdle != nil && !tooManySilent:
-			oldestIdle.evict()
-			c.evictions.idle++
-		case oldestStalled != nil && !tooManySilent:
-			oldestStalled.evict()
-			c.evictions.stalled++
-		default:
-			c.evictions.refused++
-			return false
-		}
-	}
-	if len(c.conns) >= c.maxConns+maxConnsOverLimit {
-		c.evictions.refused++
-		return false
-	}
-	c.conns[cc] = true
-	cc.readUntil(cc.idleSince.Add(c.firstCommandTimeout))
-	return true
+	return found
 }
 
 // evictionCounts counts the connections that were evicted, by their state, and those that were refused.
-type evictionCounts struct{ silent, idle, stalled, refused int }
+type evictionCounts struct{ silent, invalid, idle, stalled, refused int }
 
 // logEvictions logs the counts of evicted and refused connections, at most once a second.
 func (c *clients) logEvictions() {
@@ -84,7 +158,8 @@
 		return
 	}
 	c.log.Warn("clients: connection limit reached, connections evicted or refused", "silent", c.evictions.silent,
-		"idle", c.evictions.idle, "stalled", c.evictions.stalled, "turned_away", c.evictions.refused, "most", c.maxConns)
+		"invalid", c.evictions.invalid, "idle", c.evictions.idle, "stalled", c.evictions.stalled,
+		"turned_away", c.evictions.refused, "most", c.maxConns)
 	c.evictions, c.evictionsLoggedAt = evictionCounts{}, c.clock.Now()
 }
 
--- a/internal/relay/hangup.go
+++ b/internal/relay/hangup.go
@@ -23,8 +23,14 @@
 
 // evict closes a connection to free its slot for another client. The caller holds clients.mu.
 func (cc *clientConn) evict() {
+	if cc.invalid && !cc.evicted {
+		close(cc.evictedInvalid)
+	}
 	cc.evicted = true
 	cc.beginClose()
+	if cc.lingering && !cc.sentValid {
+		cc.SetReadDeadline(clock.ExpiredDeadline)
+	}
 }
 
 // stopReadingAll ends the reading of all connections, right before the process ends. Commands that were read to their
@@ -89,32 +95,48 @@
 // once, since it has no reply to lose and there may be many of them.
 func (c *clients) closeConn(cc *clientConn) {
 	if cc.replied && !cc.writeFailed {
-		linger(cc.Conn, c.clock, c.lingerTimeoutFor(cc))
+		timeout, cut := c.lingerLimits(cc)
+		linger(cc.Conn, c.clock, timeout, cut)
 	}
 	cc.Close()
 }
 
-// lingerTimeoutFor returns how long the close of a connection waits for the client to close its side.
-func (c *clients) lingerTimeoutFor(cc *clientConn) time.Duration {
+// lingerLimits returns how long the close of a connection waits for the client to close its side, and a channel that
+// ends the wait. A peer that has sent only invalid commands is owed a reply or a close, so an eviction closes its
+// connection at once.
+func (c *clients) lingerLimits(cc *clientConn) (timeout time.Duration, cut <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	cc.lingering = true
+	if !cc.sentValid {
+		cut = cc.evictedInvalid
+	}
 	if cc.evicted {
-		return evictedLingerTimeout
+		return evictedLingerTimeout, cut
 	}
-	return lingerTimeout
+	return lingerTimeout, cut
 }
 
-// linger closes the sending side of a connection and discards what arrives, until the peer closes its side or timeout
-// has passed.
-func linger(conn net.Conn, clk clock.Clock, timeout time.Duration) {
+// linger closes the sending side of a connection and discards what arrives, until the peer closes its side, timeout
+// has passed or cut is closed. Whoever closes cut sets an expired read deadline after that.
+func linger(conn net.Conn, clk clock.Clock, timeout time.Duration, cut <-chan struct{}) {
 	halfCloser, ok := conn.(interface{ CloseWrite() error })
 	if !ok || halfCloser.CloseWrite() != nil {
 		return
 	}
 	until := clk.Now().Add(timeout)
 	conn.SetReadDeadline(clock.DeadlineIn(timeout))
+	select {
+	case <-cut: // the expired deadline may have been replaced
+		return
+	default:
+	}
 	discarded, _ := io.CopyN(io.Discard, conn, maxLingerBytes)
-	if discarded == maxLingerBytes { // gives the peer time to read its replies before the connection is reset
-		time.Sleep(clock.Until(clk, until))
+	if discarded < maxLingerBytes {
+		return
+	}
+	select { // gives the peer time to read its replies before the connection is reset
+	case <-time.After(clock.Until(clk, until)):
+	case <-cut:
 	}
 }
--- a/internal/relay/ops.go
+++ b/internal/relay/ops.go
@@ -104,7 +104,7 @@
 // handleConn answers one call. An incomplete line is refused, since its start may be the name of another call.
 func (o *operatorPort) handleConn(conn net.Conn) {
 	defer func() {
-		linger(conn, o.clock, lingerTimeout)
+		linger(conn, o.clock, lingerTimeout, nil)
 		conn.Close()
 		o.mu.Lock()
 		defer o.mu.Unlock()
