Let connections take turns where the commands of one never pause

Cause: a relay runs on one processor. The goroutines that read and answer the flood, decide and log wake each other, and the scheduler runs a goroutine that was just woken within the time slice of the one that woke it. It looks at its queue of other goroutines, in which those stand whose network data has arrived, once in 61 slices, and a slice lasts up to 10 ms. So a new connection waited for some 0.3 s at each step. Ruled out: long steps of the event loop and the log (a processor profile has none), processor time as such (the relay served fewer calls while others waited, not more).

Change: a goroutine that reads commands yields once for each command.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -390,6 +391,8 @@
 				}
 				return
 			}
+			// A connection whose commands never pause would otherwise keep its processor from other connections.
+			runtime.Gosched()
 			c.beginRequest(cc)
 			reservation := c.newReservation(cc)
 			args, err := resp.ReadCommand(reader, func(bytes int) error {
