Bound the memory of the replies of ended messages

Seen: a relay of 32 MB that delivers ever new messages of one connection at full speed grows to 28,950 kB in a minute (280,048 calls), and would go on with a faster partner.

Cause: the id and the reply of each message that has ended are kept for one to two times the longest deadline, here 28 to 56 s, without a limit. Ruled out: timers (removed before), the log (at most 3 MB).

Change: they take at most a sixteenth of the memory for messages that may run again, of which the oldest are dropped, and as much for others. Where no more of those can be kept, no more messages of such classes are taken on: dropped, one that comes again could run twice. endedReplies moves from loop.go to a file of its own.

--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -545,6 +545,10 @@
 		// It was accepted and has ended. Accepted once more, it could run a second time.
 		req.sendReply(r.endedReplies.reply(req.record.ID))
 		return
+	case r.endedReplies.full(r.now(), r.replyRetention()) && !r.cfg.mayRepeat(req.record.Class):
+		// Its id could not be kept once it has ended.
+		req.sendReply(resp.Busy(0))
+		return
 	case !r.directory.Knows(req.record.Dest):
 		// Nothing could be sent to it. A destination whose endpoints are only temporarily gone is
 		// known from an earlier list.
@@ -639,50 +643,6 @@
 	}
 }
 
-// endedReplies holds the replies for accepted messages that have ended, in case one is handed in again
-// under the same id: by a client whose connection broke, or by a sender that repeats what it has seen.
-// Two generations are kept, so that a reply is kept for at least the retention time after the message's
-// end.
-type endedReplies struct {
-	current, previous map[string]string
-	rotatedAt         decide.Time
-}
-
-// add keeps the reply for a message id. It begins a new generation, and drops the previous one, if the
-// current one is older than the retention time.
-func (e *endedReplies) add(id, reply string, now, retention decide.Time) {
-	if e.current == nil || now-e.rotatedAt >= retention {
-		e.current, e.previous, e.rotatedAt = map[string]string{}, e.current, now
-	}
-	e.current[id] = reply
-}
-
-// reply returns the reply for a message id, or "" if none is kept.
-func (e *endedReplies) reply(id string) string { return cmp.Or(e.current[id], e.previous[id]) }
-
-// rememberReply keeps the reply that states how a message ended, for the longest deadline of any class.
-func (r *Relay) rememberReply(msg *message, reply string) {
-	retention := decide.Time(0)
-	for _, class := range r.cfg.Policy.Classes {
-		retention = max(retention, class.Deadline)
-	}
-	r.endedReplies.add(msg.rec.ID, reply, r.now(), retention)
-}
-
-// restoreEndedReplies restores the replies for messages that ended under an earlier process.
-func (r *Relay) restoreEndedReplies(records []*record) {
-	for _, rec := range records {
-		reply := resp.OK
-		switch rec.Notice {
-		case noticeHandedBack:
-			reply = resp.Busy(rec.RetryMS)
-		case noticeGivenUp:
-			reply = resp.Error(errors.New("given up"))
-		}
-		r.rememberReply(&message{rec: rec}, reply)
-	}
-}
-
 // step passes the collected events to the policy and carries out the actions it returns.
 func (r *Relay) step() {
 	events := r.policyEvents
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -312,18 +312,24 @@
 // TestEndedReplies: the reply for a message that has ended is kept for at least the retention time, and for less than
 // twice that time.
 func TestEndedReplies(t *testing.T) {
-	var replies endedReplies
-	replies.add("a", resp.OK, 100, 10)
-	replies.add("b", resp.Busy(7), 109, 10)
-	replies.add("c", resp.Error(errors.New("given up")), 110, 10)
-	for id, want := range map[string]string{"a": "+OK\r\n", "b": "-BUSY 7\r\n", "c": "-ERR given up\r\n", "d": ""} {
-		if got := replies.reply(id); got != want {
-			t.Errorf("reply for %s: got %q, want %q", id, got, want)
+	for _, mayRepeat := range []bool{false, true} {
+		var replies endedReplies
+		replies.add("a", resp.OK, mayRepeat, 100, 10)
+		replies.add("b", resp.Busy(7), mayRepeat, 109, 10)
+		replies.add("c", resp.Error(errors.New("given up")), mayRepeat, 110, 10)
+		for id, want := range map[string]string{"a": "+OK\r\n", "b": "-BUSY 7\r\n", "c": "-ERR given up\r\n", "d": ""} {
+			if got := replies.reply(id); got != want {
+				t.Errorf("reply for %s: got %q, want %q", id, got, want)
+			}
+		}
+		replies.add("d", resp.OK, mayRepeat, 120, 10)
+		kept := &replies.unrepeatable
+		if mayRepeat {
+			kept = &replies.repeatable
+		}
+		if replies.reply("b") != "" || replies.reply("c") == "" || len(kept.current)+len(kept.previous) != 2 {
+			t.Errorf("kept replies: got %v and %v, want those of c and d", kept.current, kept.previous)
 		}
-	}
-	replies.add("d", resp.OK, 120, 10)
-	if replies.reply("b") != "" || replies.reply("c") == "" || len(replies.current)+len(replies.previous) != 2 {
-		t.Errorf("kept replies: got %v and %v, want those of c and d", replies.current, replies.previous)
 	}
 }
 
