Take on no message of a client that has left before its reply

Cause: the relay learns that a client has left when it reads the end of what the client had sent. With much of it unread that comes late: the message in hand was acknowledged to nobody, counted as taken on, and ran, and so did the next ones until the client's machine had reset the connection. Ruled out: the withdrawal of messages (each that was withdrawn did not run).

Change: right before a message is acknowledged the system is asked whether the client has closed its side or reset the connection.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -483,17 +483,16 @@
 		case open:
 			pipelined = &next
 		case !c.isClosing(cc):
-			// The client has disconnected, or has ended its side of the connection and may still read. In both
-			// cases the message is withdrawn: no attempt has begun, since its client had no reply.
-			c.replyWritten(request, false)
-			if reply = <-request.withdrawal; reply == "" {
-				reply = <-request.reply
-			}
-			c.writeReply(cc, reply)
+			c.withdrawPut(cc, request)
 			return false, nil
 		}
 		reply = <-request.reply
 	}
+	if peerHasClosed(cc.Conn) { // the end of its commands is still unread
+		request.reply <- reply // it holds if the message cannot be withdrawn any more
+		c.withdrawPut(cc, request)
+		return false, pipelined
+	}
 	if resp.IsError(reply) {
 		return c.writeErrorReply(cc, reply), pipelined
 	}
@@ -504,6 +503,17 @@
 	return ok, pipelined
 }
 
+// withdrawPut withdraws the message of a client that has disconnected before it had its reply, or has ended its side of
+// the connection and may still read: no attempt has begun. It writes the refusal, or the request's reply where that holds.
+func (c *clients) withdrawPut(cc *clientConn, request *putRequest) {
+	c.replyWritten(request, false)
+	reply := <-request.withdrawal
+	if reply == "" {
+		reply = <-request.reply
+	}
+	c.writeReply(cc, reply)
+}
+
 // writeReply writes a reply and reports whether all of it was written.
 func (c *clients) writeReply(cc *clientConn, reply string) bool {
 	cc.SetWriteDeadline(clock.DeadlineIn(replyWriteTimeout))
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -10,7 +10,6 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"troutusher/decide"
@@ -284,30 +283,6 @@
 	return n < 0 && err == nil
 }
 
-// peekSocket checks, without waiting, whether a connection has received data that nobody has read: it returns 1 if
-// so, 0 at the end of file, and -1 if nothing has arrived.
-func peekSocket(conn net.Conn) (int, error) {
-	s, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0, errors.ErrUnsupported
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	n := -1
-	var peekErr error
-	// Control is used instead of Read since Read fails after the read deadline, even if data has arrived.
-	err = raw.Control(func(fd uintptr) {
-		var buf [1]byte
-		if n, _, peekErr = syscall.Recvfrom(int(fd), buf[:],
-			syscall.MSG_PEEK|syscall.MSG_DONTWAIT); errors.Is(peekErr, syscall.EAGAIN) {
-			n, peekErr = -1, nil
-		}
-	})
-	return n, cmp.Or(err, peekErr)
-}
-
 // counts returns the numbers of open and idle connections, for tests and the log.
 func (p *pool) counts() (open, idle int) {
 	p.mu.Lock()
