Move client connections and the drain of the client side to files of their own

clients.go had grown to 554 lines and has 375 now. No line of code changes. The tests of clients, connections, drain and the operator port pass (11.5 s).

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"cmp"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -13,7 +12,6 @@
 	"os"
 	"runtime"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -67,82 +65,6 @@
 	handedOver        bool // shutting down, and the successor process of this relay accepts clients
 }
 
-// clientConn is one client connection. Its fields are guarded by clients.mu, except for those marked otherwise.
-type clientConn struct {
-	net.Conn
-	clock             clock.Clock
-	inFlight          int          // requests whose first byte was read and whose reply is not written
-	readingCommand    bool         // the latest request has not been read to its end
-	lastReadAt        atomic.Int64 // clock.Instant of the latest read that returned data; needs no lock
-	consecutiveErrors int          // error replies in a row; used by the replying goroutine only
-	replied           bool         // a reply was written, or its write failed; used by the replying goroutine only
-	writeFailed       bool         // a reply could not be written; used by the replying goroutine only
-	readStopped       bool         // nothing more is read from the socket, only from the buffer
-	evicted           bool         // closed to free a connection slot for another client
-	invalid           bool         // the latest command that was answered was invalid
-	sentValid         bool         // a valid command has been answered
-	lingering         bool         // only the client's close, or a timeout, is awaited
-	idleSince         clock.Instant
-	evictedInvalid    chan struct{} // closed when the connection is evicted while it is invalid; never replaced
-	sentCommand       bool          // a whole command has been read
-	closing           bool          // the connection is closed once no request is in flight
-
-	readDeadline     clock.Instant      // of the reads, if they have one
-	readInterrupted  bool               // the reads fail as if their deadline had passed
-	reservedBytes    int64              // memory that the command being read has reserved
-	cancelMemoryWait context.CancelFunc // ends that command's wait for memory; nil if it does not wait
-}
-
-// newClientConn returns a connection that was just accepted.
-func newClientConn(conn net.Conn, clk clock.Clock) *clientConn {
-	return &clientConn{Conn: conn, clock: clk, idleSince: clk.Now(), evictedInvalid: make(chan struct{})}
-}
-
-// Read reads from the connection and records the time of each read that returns data.
-func (cc *clientConn) Read(b []byte) (int, error) {
-	n, err := readWithRetry(cc.Conn, b)
-	if n > 0 {
-		cc.lastReadAt.Store(int64(cc.clock.Now()))
-	}
-	return n, err
-}
-
-// lastRead returns the time of the latest read that returned data.
-func (cc *clientConn) lastRead() clock.Instant { return clock.Instant(cc.lastReadAt.Load()) }
-
-// readUntil sets the read deadline. The caller holds clients.mu, as with the next two functions.
-func (cc *clientConn) readUntil(at clock.Instant) {
-	cc.readDeadline, cc.readInterrupted = at, false
-	cc.SetReadDeadline(clock.DeadlineIn(clock.Until(cc.clock, at)))
-}
-
-// readWithoutDeadline removes the read deadline.
-func (cc *clientConn) readWithoutDeadline() {
-	cc.readDeadline, cc.readInterrupted = 0, false
-	cc.SetReadDeadline(time.Time{})
-}
-
-// interruptRead lets all reads fail as if their deadline had passed, except for those that discard what arrives while
-// the connection closes.
-func (cc *clientConn) interruptRead() {
-	cc.readInterrupted = true
-	if cc.lingering {
-		return
-	}
-	cc.SetReadDeadline(clock.ExpiredDeadline)
-	if cc.cancelMemoryWait != nil {
-		cc.cancelMemoryWait()
-	}
-}
-
-// beginClose ends the wait for the next request permanently, which closes the connection. Other goroutines close a
-// connection only in this way, so that a request whose first byte has been read is answered first. The caller holds
-// clients.mu.
-func (cc *clientConn) beginClose() {
-	cc.closing = true
-	cc.interruptRead()
-}
-
 // newClients returns the server side of the client protocol. It accepts no connections before serve is called.
 func newClients(cfg *Config, clk clock.Clock, log *slog.Logger, submit func(*putRequest),
 	replyWritten func(*putRequest, bool)) *clients {
@@ -204,107 +126,6 @@
 	}
 }
 
-// setServing records whether connections are accepted.
-func (c *clients) setServing(serving bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.serving = serving
-}
-
-// ready reports whether clients are served.
-func (c *clients) ready() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.serving && !c.draining()
-}
-
-// draining reports whether each connection is closed once it has no request in flight. The caller holds mu.
-func (c *clients) draining() bool { return c.drained || c.shuttingDown }
-
-// drainReason returns why the relay closes client connections, or an empty string where it does not.
-func (c *clients) drainReason() string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.handedOver: // the successor process serves clients, so the relay as a whole is not draining
-		return ""
-	case c.shuttingDown:
-		return "ending"
-	case c.drained:
-		return "drained"
-	}
-	return ""
-}
-
-// notReadyReason returns why clients are not served.
-func (c *clients) notReadyReason() string {
-	c.mu.Lock()
-	handedOver := c.handedOver
-	c.mu.Unlock()
-	if handedOver {
-		return "handed over"
-	}
-	return cmp.Or(c.drainReason(), "starting")
-}
-
-// shutDown closes the client side: idle connections at once, and each of the others after its reply.
-func (c *clients) shutDown() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.shuttingDown = true
-	c.closeIdleConns()
-}
-
-// handOver closes the client side of this process, while its successor serves clients.
-func (c *clients) handOver() {
-	c.mu.Lock()
-	c.handedOver = true
-	c.mu.Unlock()
-	c.shutDown()
-}
-
-// count returns the number of connections, closing ones included.
-func (c *clients) count() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.conns)
-}
-
-// drain closes the client connections as shutDown does, but can be undone. Messages accepted before are delivered as
-// usual.
-func (c *clients) drain() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.drained = true
-	c.closeIdleConns()
-}
-
-// undrain ends the effect of drain. It reports false where the client side is shutting down.
-func (c *clients) undrain() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.drained = false
-	return !c.shuttingDown
-}
-
-// closeIdleConns closes the connections that have no request in flight. A connection without a command so far is kept
-// until its first command is answered or firstCommandTimeout has passed. The caller holds mu.
-func (c *clients) closeIdleConns() {
-	for cc := range c.conns {
-		if cc.inFlight == 0 && cc.sentCommand {
-			cc.beginClose()
-		}
-	}
-}
-
-// isClosing reports whether the relay itself ended the reading of a connection. Its client is still there then, and a
-// request that was read is answered.
-func (c *clients) isClosing(cc *clientConn) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return cc.closing
-}
-
 // beginRequest records that the first byte of a request has been read.
 func (c *clients) beginRequest(cc *clientConn) {
 	c.mu.Lock()
