Number the zones that only the endpoint list names

Cause: all localities that the settings do not name had the zone number -1, so a message of a class that drops repeats by zone could go from one to another.

Change: each gets a number of its own, which it keeps when new settings name it.

TestUnnamedZonesDiffer failed before (three endpoints of two localities, all -1), and passes now.

--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -42,7 +42,8 @@
 	Known         *membership.Directory // last endpoint list of this relay, possibly out of date; nil for none
 	KnownErr      error                 // why Known is nil although the file has a list
 	Policy        decide.Settings
-	// zones, kinds, classes and tenants map names to indexes in the settings.
+	// zones, kinds, classes and tenants map names to indexes in the settings. In the configuration of a running relay,
+	// zones maps them to the policy's numbers, and also names that only the endpoint list has; only the loop uses it then.
 	zones      map[string]int
 	kinds      map[string]int
 	classes    map[string]int
--- a/internal/relay/dedup_zone_test.go
+++ b/internal/relay/dedup_zone_test.go
@@ -87,6 +87,29 @@
 	}
 }
 
+// TestUnnamedZonesDiffer guards against a second effect in another zone: endpoints are in localities that the settings do
+// not name. Each of these is a zone of its own, and keeps its number when new settings name it.
+func TestUnnamedZonesDiffer(t *testing.T) {
+	relay := newTestRelay(t)
+	relay.receiveList(t, &List{Complete: true, Members: []Member{
+		{ID: "s-1", HostPort: "127.0.0.1:1", Locality: "x", Flavor: "k", Cell: 7, Phase: phaseUp},
+		{ID: "s-2", HostPort: "127.0.0.1:2", Locality: "y", Flavor: "k", Cell: 7, Phase: phaseUp},
+		{ID: "s-3", HostPort: "127.0.0.1:3", Locality: "x", Flavor: "k", Cell: 7, Phase: phaseUp}}})
+	entries := relay.Endpoints(7, nil)
+	if len(entries) != 3 || entries[0].Zone == entries[1].Zone || entries[0].Zone != entries[2].Zone {
+		t.Fatalf("got entries %+v, want the first and third in one zone and the second in another", entries)
+	}
+	if got := relay.loggedZone("y", 0); got != entries[1].Zone {
+		t.Errorf("zone of a logged attempt: got number %d, want %d", got, entries[1].Zone)
+	}
+	cfg := *relay.cfg
+	cfg.zones = map[string]int{"y": 0, "a": 1}
+	cfg.keepZoneNumbers(relay.cfg)
+	if got := cfg.zones["y"]; got != entries[1].Zone {
+		t.Errorf("after new settings: got number %d, want %d", got, entries[1].Zone)
+	}
+}
+
 // TestCallIsNotSentToMovedEndpoint guards against a second effect in another zone: the list moves an endpoint to
 // another zone between the decision to call it and the start of the call.
 func TestCallIsNotSentToMovedEndpoint(t *testing.T) {
--- a/internal/relay/members.go
+++ b/internal/relay/members.go
@@ -106,10 +106,29 @@
 		return entry
 	}
 	attributes := r.directory.Attributes(e.AttributesID)
-	entry.Zone, entry.Kind = indexOf(r.cfg.zones, attributes.Locality), indexOf(r.cfg.kinds, attributes.Flavor)
+	entry.Zone, entry.Kind = r.zoneNumber(attributes.Locality), indexOf(r.cfg.kinds, attributes.Flavor)
 	return entry
 }
 
+// zoneNumber returns the number of a zone, and gives one to a zone that the settings do not name.
+func (r *Relay) zoneNumber(name string) int {
+	number, known := r.cfg.zones[name]
+	if !known {
+		number = nextNumber(r.cfg.zones)
+		r.cfg.zones[name] = number
+	}
+	return number
+}
+
+// nextNumber returns the lowest number above all of those in use.
+func nextNumber(numbers map[string]int) int {
+	next := 0
+	for _, number := range numbers {
+		next = max(next, number+1)
+	}
+	return next
+}
+
 // startListUpdate begins to apply a list. A short list is applied completely.
 func (r *Relay) startListUpdate(u *membership.Update) {
 	r.pendingUpdate = u
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -82,16 +82,11 @@
 // does not have. The policy compares the zone of an endpoint with that of an earlier attempt by their numbers.
 func (c *Config) keepZoneNumbers(old *Config) {
 	numbers := maps.Clone(old.zones)
-	next := 0
-	for _, number := range numbers {
-		next = max(next, number+1)
-	}
 	ownZone := c.Policy.Zone
 	for _, name := range slices.SortedFunc(maps.Keys(c.zones),
 		func(a, b string) int { return c.zones[a] - c.zones[b] }) {
 		if _, known := numbers[name]; !known {
-			numbers[name] = next
-			next++
+			numbers[name] = nextNumber(numbers)
 		}
 		if c.zones[name] == ownZone {
 			c.Policy.Zone = numbers[name]
