Do not count calls that were not sent as requests in the throttle

Cause: a call counts as a request in the throttle's history when it is decided. One whose messages are withdrawn before it is sent ends as not sent, and stayed a request without an accept. After five of them calls to a destination that answers were dropped with a probability of up to 0.9, each time for 1.75 s. Ruled out: a lost acknowledgement (each was logged), a slot that stays taken (the next message was picked).

Change: the end of such a call takes its request back. Calls that the endpoint turned away for want of a slot count as before.

--- a/decide/containers.go
+++ b/decide/containers.go
@@ -66,6 +66,17 @@
 func (c *rollingCounter) addRequest(now Time) { c.add(now, 0) }
 func (c *rollingCounter) addAccept(now Time)  { c.add(now, 1) }
 
+// removeRequest takes back a request that was added at a time, unless that has left the time window.
+func (c *rollingCounter) removeRequest(now, addedAt Time) {
+	c.advance(now)
+	bin := addedAt / c.binWidth
+	if c.bins == nil || c.newestBin-bin >= c.binCount || c.bins[bin%c.binCount][0] == 0 {
+		return
+	}
+	c.bins[bin%c.binCount][0]--
+	c.sums[0]--
+}
+
 // totals returns the requests and accepts within the time window.
 func (c *rollingCounter) totals(now Time) (requests, accepts float64) {
 	c.advance(now)
--- a/decide/dispatch.go
+++ b/decide/dispatch.go
@@ -217,7 +217,7 @@
 		l.backoffUntil = max(l.backoffUntil, p.now+Time(backoff*float64(second)))
 		return
 	}
-	c := &call{endpoint: ep, zone: ep.zone, sentAt: p.now}
+	c := &call{endpoint: ep, zone: ep.zone, sentAt: p.now, counted: true}
 	for _, m := range slices.Clone(d.queue) {
 		if c.remaining >= d.kind.MaxBatch {
 			break
--- a/decide/outcome.go
+++ b/decide/outcome.go
@@ -50,6 +50,10 @@
 	if !e.Outcome.NeverRan() && e.Outcome != Delivered && m.mayHaveRunAt == 0 {
 		p.markMayHaveRun(m, c.sentAt, c.zone)
 	}
+	if c.remaining == 0 && c.counted && !c.observed && !c.overdue && !e.SlotsTaken {
+		// None of its messages was sent, so it says nothing about the destination.
+		c.endpoint.limiter.history.removeRequest(p.now, c.sentAt)
+	}
 	m.failedEndpoint = c.endpoint
 	switch {
 	case m.ended:
--- a/decide/state.go
+++ b/decide/state.go
@@ -147,9 +147,10 @@
 	sentAt    Time
 	remaining int  // messages without an outcome
 	observed  bool // its result has been learned
+	counted   bool // it counts as a request in the history of its limiter
 	overdue   bool // in flight for longer than usual, and out of the window
 	messages  []*message
-	// overdueTimer and cancelTimer are removed when the call ends. cancelTimer is nil without Settings.MayCancel.
+	// overdueTimer and cancelTimer are removed when the call ends. cancelTimer may be nil.
 	overdueTimer, cancelTimer *timer[func()]
 }
 
@@ -173,8 +174,8 @@
 	}
 }
 
-// markMayHaveRun records the first attempt of a message that may have run. Unless the message has ended, it is
-// checked again when its deduplication window ends.
+// markMayHaveRun records the first attempt of a message that may have run. Unless the message has ended, it
+// is checked again when its deduplication window ends.
 func (p *Policy) markMayHaveRun(m *message, sentAt Time, zone int) {
 	if m.mayHaveRunAt, m.mayHaveRunZone = sentAt, zone; m.ended {
 		return
