--- a/internal/rig/peers/behaviors.go
+++ b/internal/rig/peers/behaviors.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Behavior is how the peers of a scenario behave.
@@ -193,6 +195,23 @@
 	return text.String()
 }
 
+// acknowledgement is the reply to a message that the relay has taken on.
+const acknowledgement = "+OK\r\n"
+
+// unreadBytes returns the number of bytes that have arrived on a connection and were not read.
+func unreadBytes(conn *net.TCPConn) (count int) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
+			count = n
+		}
+	})
+	return count
+}
+
 // leave sends messages and closes the connection without reading their replies.
 func (p *peer) leave() {
 	var text strings.Builder
@@ -202,5 +221,6 @@
 	if _, err := io.WriteString(p.conn, text.String()); err == nil {
 		p.crowd.commands.Add(burst)
 	}
+	p.crowd.unreadReplies.Add(int64(unreadBytes(p.conn) / len(acknowledgement)))
 	p.conn.Close()
 }
--- a/internal/rig/peers/peers.go
+++ b/internal/rig/peers/peers.go
@@ -55,6 +55,7 @@
 	Connections   int64          `json:"connections"`     // made by the peers
 	Commands      int64          `json:"commands"`        // sent by the peers, as far as they count them
 	LongestOpenMS int64          `json:"longest_open_ms"` // longest life of a peer's connection
+	UnreadReplies int64          `json:"unread_replies"`  // that leaving peers had got
 	Calls         int64          `json:"calls"`           // received by the partner
 	RelayExited   bool           `json:"relay_exited"`
 }
@@ -104,6 +105,7 @@
 	wait(ctx, 2*sampleInterval)
 	result.AfterKB = memory.takePeak()
 	result.Connections, result.Commands = crowd.connections.Load(), crowd.commands.Load()
+	result.UnreadReplies = crowd.unreadReplies.Load()
 	result.LongestOpenMS = crowd.longestOpen.Load()
 	result.Calls, result.RelayExited = server.Calls.Load(), relay.Exited()
 	return result, context.Cause(ctx)
@@ -220,7 +222,9 @@
 	addr        string
 	connections atomic.Int64
 	commands    atomic.Int64
-	longestOpen atomic.Int64 // in milliseconds
+	// unreadReplies counts the replies that had arrived at peers when these closed their connections.
+	unreadReplies atomic.Int64
+	longestOpen   atomic.Int64 // in milliseconds
 }
 
 func newCrowd(scenario *Scenario, addr string) *crowd { return &crowd{scenario: scenario, addr: addr} }
