Sample the memory of a relay when its peak is asked for

Cause: a sample every 5 ms; none lay within the scenario. Change: the peak includes the memory at the moment it is asked for.

--- a/internal/rig/peers/peers.go
+++ b/internal/rig/peers/peers.go
@@ -102,7 +102,6 @@
 		clients.stop(result)
 	}
 	memory.takePeak()
-	wait(ctx, 2*sampleInterval)
 	result.AfterKB = memory.takePeak()
 	result.Connections, result.Commands = crowd.connections.Load(), crowd.commands.Load()
 	result.UnreadReplies = crowd.unreadReplies.Load()
@@ -172,6 +171,7 @@
 
 // memorySampler samples the memory of a relay.
 type memorySampler struct {
+	relay  *process.Relay
 	mu     sync.Mutex
 	peakKB int64
 	ended  chan struct{}
@@ -180,17 +180,11 @@
 
 // sampleMemory starts to sample.
 func sampleMemory(relay *process.Relay) *memorySampler {
-	s := &memorySampler{ended: make(chan struct{}), done: make(chan struct{})}
+	s := &memorySampler{relay: relay, ended: make(chan struct{}), done: make(chan struct{})}
 	go func() {
 		defer close(s.done)
 		for {
-			usage, err := relay.Usage()
-			files, filesErr := relay.FileBytes()
-			if errors.Join(err, filesErr) == nil {
-				s.mu.Lock()
-				s.peakKB = max(s.peakKB, (usage.AnonymousBytes+files)>>10)
-				s.mu.Unlock()
-			}
+			s.sample()
 			select {
 			case <-s.ended:
 				return
@@ -201,8 +195,21 @@
 	return s
 }
 
-// takePeak returns the peak since the call before, in kB.
+// sample records the memory that the relay has now. A relay that has ended has none.
+func (s *memorySampler) sample() {
+	usage, err := s.relay.Usage()
+	files, filesErr := s.relay.FileBytes()
+	if errors.Join(err, filesErr) != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peakKB = max(s.peakKB, (usage.AnonymousBytes+files)>>10)
+}
+
+// takePeak returns the peak since the call before, the present memory included, in kB.
 func (s *memorySampler) takePeak() int64 {
+	s.sample()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	peak := s.peakKB
